--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/ToucanrackException.java
@@ -0,0 +1,36 @@
+package org.toucanrack;
+
+import java.util.Objects;
+
+/**
+ * The unchecked exception of toucanrack. Its code is stable, its message says what happened and
+ * what to do.
+ *
+ * <pre>{@code
+ * throw new ToucanrackException(
+ *     ErrorCode.CONFLICT,
+ *     "Version 7 is no longer current. Run 'toucanrack plan' and apply again.");
+ * }</pre>
+ */
+public final class ToucanrackException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final ErrorCode code;
+
+  /** Creates an exception without cause. */
+  public ToucanrackException(ErrorCode code, String message) {
+    this(code, message, null);
+  }
+
+  /** Creates an exception with a cause. */
+  public ToucanrackException(ErrorCode code, String message, Throwable cause) {
+    super(message, cause);
+    this.code = Objects.requireNonNull(code, "code");
+  }
+
+  /** Returns the stable code. */
+  public ErrorCode code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/configuration/Customer.java
@@ -0,0 +1,22 @@
+package org.toucanrack.configuration;
+
+import org.toucanrack.id.CustomerId;
+
+/**
+ * A customer and its limits over all VMs together. Immutable and thread-safe.
+ *
+ * @param id the customer
+ * @param requestsPerSecond the rate
+ * @param burst requests that may come at once
+ * @param weight share under overload, relative to the other customers
+ */
+public record Customer(CustomerId id, double requestsPerSecond, double burst, double weight) {
+
+  /** Rejects limits that are not positive. */
+  public Customer {
+    if (requestsPerSecond <= 0 || burst < 1 || weight <= 0) {
+      throw new IllegalArgumentException(
+          "customer " + id + " needs a positive rate and weight and a burst of at least 1");
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/configuration/RegionLink.java
@@ -0,0 +1,26 @@
+package org.toucanrack.configuration;
+
+import org.toucanrack.id.RegionId;
+
+/**
+ * The link of a pair of regions. Immutable and thread-safe.
+ *
+ * @param first one region
+ * @param second the other region
+ * @param bitsPerSecond the capacity each way
+ */
+public record RegionLink(RegionId first, RegionId second, long bitsPerSecond) {
+
+  /** Rejects a capacity that is not positive. */
+  public RegionLink {
+    if (bitsPerSecond <= 0) {
+      throw new IllegalArgumentException("link capacity must be positive");
+    }
+  }
+
+  /** Returns whether the link joins the two regions, in either order. */
+  public boolean joins(RegionId one, RegionId other) {
+    return (first.equals(one) && second.equals(other))
+        || (first.equals(other) && second.equals(one));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The declared model: immutable records without I/O. */
+package org.toucanrack.configuration;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/id/CustomerId.java
@@ -0,0 +1,27 @@
+package org.toucanrack.id;
+
+/**
+ * Names a customer.
+ *
+ * <p>Invariant: the value is a valid name as checked by {@link NameRule}. Immutable and
+ * thread-safe.
+ *
+ * @param value the name, as written in the configuration
+ */
+public record CustomerId(String value) implements Comparable<CustomerId> {
+
+  /** Rejects values that are not valid names. */
+  public CustomerId {
+    NameRule.check("customer", value);
+  }
+
+  @Override
+  public int compareTo(CustomerId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/id/Incarnation.java
@@ -0,0 +1,24 @@
+package org.toucanrack.id;
+
+/**
+ * Identifies one run of the process of a VM. A restarted process is a new incarnation.
+ *
+ * <p>Invariant: the number is positive. Immutable and thread-safe.
+ *
+ * @param vm the VM
+ * @param number random at each start, so that it needs no storage
+ */
+public record Incarnation(VmId vm, long number) {
+
+  /** Rejects numbers that are not positive. */
+  public Incarnation {
+    if (number <= 0) {
+      throw new IllegalArgumentException("incarnation number must be positive, was " + number);
+    }
+  }
+
+  @Override
+  public String toString() {
+    return vm + "/" + Long.toHexString(number);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/id/RegionId.java
@@ -0,0 +1,27 @@
+package org.toucanrack.id;
+
+/**
+ * Names a region.
+ *
+ * <p>Invariant: the value is a valid name as checked by {@link NameRule}. Immutable and
+ * thread-safe.
+ *
+ * @param value the name, as written in the configuration
+ */
+public record RegionId(String value) implements Comparable<RegionId> {
+
+  /** Rejects values that are not valid names. */
+  public RegionId {
+    NameRule.check("region", value);
+  }
+
+  @Override
+  public int compareTo(RegionId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids. */
+package org.toucanrack.id;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between VMs and the rules of HTTP messages. */
+package org.toucanrack.internal.protocol;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/state/Ownership.java
@@ -0,0 +1,35 @@
+package org.toucanrack.internal.state;
+
+import java.util.Map;
+import java.util.Optional;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.Incarnation;
+
+/**
+ * Which incarnation owns which leased resource, over all failure domains. Immutable and
+ * thread-safe.
+ *
+ * <p>Invariant: a resource has at most one owner.
+ *
+ * @param backendServers owner of all slots of each backend server
+ * @param rateShares owner of each share of a customer's rate
+ */
+public record Ownership(
+    Map<BackendServerId, Incarnation> backendServers, Map<RateShareId, Incarnation> rateShares) {
+
+  /** Copies the maps. */
+  public Ownership {
+    backendServers = Map.copyOf(backendServers);
+    rateShares = Map.copyOf(rateShares);
+  }
+
+  /** Returns an ownership without owners. */
+  public static Ownership none() {
+    return new Ownership(Map.of(), Map.of());
+  }
+
+  /** Returns the owner of a backend server's slots. */
+  public Optional<Incarnation> ownerOf(BackendServerId server) {
+    return Optional.ofNullable(backendServers.get(server));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/state/package-info.java
@@ -0,0 +1,2 @@
+/** Control state as traffic threads see it: one immutable snapshot. */
+package org.toucanrack.internal.state;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/package-info.java
@@ -0,0 +1,2 @@
+/** Public API of toucanrack: the main class, verdicts and errors. */
+package org.toucanrack;
