--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.toucanrack.internal.command;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Reads, checks, encodes and publishes the declared configuration. */
+package org.toucanrack.internal.configuration;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftGate.java
@@ -0,0 +1,19 @@
+package org.toucanrack.internal.coordination.move;
+
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.ServiceId;
+
+/**
+ * Bounds how much traffic of a service this VM sends to other failure domains than the one it would
+ * be served in. Thread-safe.
+ */
+public interface ShiftGate {
+
+  /** Counts one request of the service that arrived, whether shifted or not. */
+  void arrived(ServiceId service, long nowNanos);
+
+  /**
+   * Returns whether one request may be served in another failure domain now, and counts it if so.
+   */
+  boolean tryShift(ServiceId service, FailureDomainId from, FailureDomainId to, long nowNanos);
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/package-info.java
@@ -0,0 +1,2 @@
+/** Wires the parts of an entry VM together. */
+package org.toucanrack.internal.serve;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers and clients. */
+package org.toucanrack.internal.transport.http;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between VMs. */
+package org.toucanrack.internal.transport.peer;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP adapter of the platform port. */
+package org.toucanrack.internal.transport.platform;
