Thin: add the platform and backend server stand-ins

Cause: the other parts need a platform and backend servers to run against. Ruled out: the JDK HTTP server for backend servers, since it cannot send truncated or unframed responses nor reset a connection. Change: `standin platform` (tables, objects, VM list, measurements, faults) on the JDK server and `standin backend` (slots, service times, faults, cancellation, record of requests that ran) on ActiveJ.

--- /dev/null
+++ b/standin/src/main/java/org/toucanrack/standin/backend/BackendProcess.java
@@ -0,0 +1,90 @@
+package org.toucanrack.standin.backend;
+
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.toucanrack.standin.Addresses;
+
+/** Runs many backend servers on one event loop. */
+public final class BackendProcess implements AutoCloseable {
+
+  private final Eventloop eventloop = Eventloop.builder().withThreadName("backend").build();
+  private final List<BackendServer> servers = new ArrayList<>();
+  private final Thread thread = new Thread(eventloop, "backend");
+
+  /** Starts one backend server on each address. */
+  public BackendProcess(List<InetSocketAddress> addresses, BackendSettings settings, long seed)
+      throws IOException {
+    eventloop.keepAlive(true);
+    for (InetSocketAddress address : addresses) {
+      servers.add(new BackendServer(eventloop, address, settings, seed + servers.size()));
+    }
+    thread.setDaemon(true);
+    thread.start();
+    eventloop.submit(this::listen).join();
+  }
+
+  private void listen() throws IOException {
+    for (BackendServer server : servers) {
+      server.listen();
+    }
+  }
+
+  /** Parses the arguments and serves until the process ends. */
+  public static void run(String[] arguments) throws Exception {
+    Options options = new Options();
+    options.addOption(Option.builder().longOpt("listen").hasArg().required().build());
+    for (String name :
+        List.of(
+            "slots",
+            "max-connections",
+            "service-time",
+            "seed",
+            "cold-factor",
+            "cold-ms",
+            "cold-requests",
+            "cold-after-pause-ms",
+            "new-connection-ms",
+            "state-lag-ms")) {
+      options.addOption(Option.builder().longOpt(name).hasArg().build());
+    }
+    CommandLine line = new DefaultParser().parse(options, arguments);
+    List<InetSocketAddress> addresses = Addresses.parseList(line.getOptionValue("listen"));
+    long seed = Long.parseLong(line.getOptionValue("seed", "1"));
+    BackendProcess process = new BackendProcess(addresses, settings(line), seed);
+    System.out.println("backend: listening on " + line.getOptionValue("listen"));
+    process.thread.join();
+  }
+
+  private static BackendSettings settings(CommandLine line) {
+    return new BackendSettings(
+        Integer.parseInt(line.getOptionValue("slots", "5")),
+        Integer.parseInt(line.getOptionValue("max-connections", "350")),
+        ServiceTime.parse(line.getOptionValue("service-time", "lognormal:5:0.4")),
+        new BackendSettings.ColdStart(
+            Double.parseDouble(line.getOptionValue("cold-factor", "1")),
+            Long.parseLong(line.getOptionValue("cold-ms", "0")),
+            Integer.parseInt(line.getOptionValue("cold-requests", "0")),
+            Long.parseLong(line.getOptionValue("cold-after-pause-ms", "0"))),
+        Long.parseLong(line.getOptionValue("new-connection-ms", "1")),
+        Long.parseLong(line.getOptionValue("state-lag-ms", "0")));
+  }
+
+  /** Returns the ports in the order of the addresses. */
+  public List<Integer> ports() {
+    return servers.stream().map(BackendServer::port).toList();
+  }
+
+  @Override
+  public void close() {
+    eventloop.submit(() -> servers.forEach(BackendServer::close)).join();
+    eventloop.keepAlive(false);
+    eventloop.submit(() -> {});
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/toucanrack/standin/platform/Lagging.java
@@ -0,0 +1,50 @@
+package org.toucanrack.standin.platform;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.LongSupplier;
+
+/**
+ * A value that readers see only after a lag, or not at all while it is frozen. Thread-safe.
+ *
+ * @param <T> an immutable value
+ */
+final class Lagging<T> {
+
+  private record Change<T>(long visibleNanos, T value) {}
+
+  private final LongSupplier nanoTime;
+  private final long lagNanos;
+  private final Deque<Change<T>> pending = new ArrayDeque<>();
+  private T visible;
+  private T latest;
+  private boolean frozen;
+
+  Lagging(T initial, long lagNanos, LongSupplier nanoTime) {
+    this.visible = initial;
+    this.latest = initial;
+    this.lagNanos = lagNanos;
+    this.nanoTime = nanoTime;
+  }
+
+  synchronized T latest() {
+    return latest;
+  }
+
+  synchronized void set(T value) {
+    latest = value;
+    pending.add(new Change<>(nanoTime.getAsLong() + lagNanos, value));
+  }
+
+  synchronized void freeze(boolean stop) {
+    frozen = stop;
+  }
+
+  synchronized T visible() {
+    long now = nanoTime.getAsLong();
+    while (!frozen && !pending.isEmpty() && pending.peek().visibleNanos() - now <= 0) {
+      visible = pending.poll().value();
+    }
+    return visible;
+  }
+}
