--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/operator/OperatorToken.java
@@ -0,0 +1,28 @@
+package org.toucanrack.internal.transport.operator;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Optional;
+
+/** Compares the token of a request with the one in the settings. Immutable and thread-safe. */
+final class OperatorToken {
+
+  private static final String SCHEME = "Bearer ";
+
+  private final Optional<byte[]> expected;
+
+  OperatorToken(Optional<String> token) {
+    this.expected = token.map(value -> value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  boolean matches(String authorization) {
+    if (expected.isEmpty()) {
+      return true;
+    }
+    if (authorization == null || !authorization.startsWith(SCHEME)) {
+      return false;
+    }
+    byte[] given = authorization.substring(SCHEME.length()).getBytes(StandardCharsets.UTF_8);
+    return MessageDigest.isEqual(expected.get(), given);
+  }
+}
