Thin: serve callers' requests over the owner to backend servers

Cause: the traffic path had only interfaces.

Ruled out: ActiveJ's promise timeout alone, since it leaves the connection open and returns it to the pool after the late response. The client now records the socket of each request from the first write, so that a request that ends early can close it.

Conclusion: framing check, header rules, retries, tickets, look-up and planned stop are still missing. No caller's header passes yet.

--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendCall.java
@@ -0,0 +1,57 @@
+package org.toucanrack.internal.transport.http;
+
+import io.activej.async.exception.AsyncCloseException;
+import io.activej.net.socket.tcp.TcpSocket;
+import java.util.concurrent.CompletableFuture;
+import org.toucanrack.internal.protocol.generated.ForwardAnswer;
+
+/**
+ * One request to a backend server and the connection it was written to.
+ *
+ * <p>Invariant: the answer completes once. Confined to one event loop, except for the answer.
+ */
+final class BackendCall {
+
+  private final CompletableFuture<ForwardAnswer> answer = new CompletableFuture<>();
+  private TcpSocket socket;
+  private boolean connectFailed;
+
+  CompletableFuture<ForwardAnswer> answer() {
+    return answer;
+  }
+
+  void markConnectFailed() {
+    connectFailed = true;
+  }
+
+  /** Records the connection; closes it at once if the call has already been answered. */
+  void writtenTo(TcpSocket target) {
+    socket = target;
+    if (answer.isDone()) {
+      closeConnection();
+    }
+  }
+
+  /** Returns whether no byte of the request was handed to a connection, and none will be. */
+  boolean neverWritten() {
+    return connectFailed && socket == null;
+  }
+
+  /** Answers with the complete response; the connection may be used again. */
+  void finish(ForwardAnswer complete) {
+    answer.complete(complete);
+  }
+
+  /** Answers early and closes the connection, so that it never returns to the pool. */
+  void abort(ForwardAnswer early) {
+    if (answer.complete(early)) {
+      closeConnection();
+    }
+  }
+
+  private void closeConnection() {
+    if (socket != null) {
+      socket.closeEx(new AsyncCloseException("request ended before its response"));
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendConnections.java
@@ -0,0 +1,77 @@
+package org.toucanrack.internal.transport.http;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpClientConnection;
+import io.activej.http.HttpRequest;
+import io.activej.net.socket.tcp.TcpSocket;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/**
+ * Finds the connection of each {@link BackendCall}. ActiveJ's client has no way to cancel a
+ * request, so the call's socket is taken from the first write that follows its start.
+ *
+ * <p>Invariant: {@code starting} is set only while the client writes the request of that call.
+ * Confined to one event loop.
+ */
+final class BackendConnections {
+
+  private BackendCall starting;
+
+  /** Sends the request of a call; a pooled connection is written to before this returns. */
+  void start(BackendCall call, Runnable send) {
+    starting = call;
+    try {
+      send.run();
+    } finally {
+      starting = null;
+    }
+  }
+
+  HttpClient.Inspector clientInspector() {
+    return new ClientInspector();
+  }
+
+  TcpSocket.Inspector socketInspector() {
+    return new SocketInspector();
+  }
+
+  private void attribute(TcpSocket socket) {
+    BackendCall call = starting;
+    starting = null;
+    if (call != null) {
+      call.writtenTo(socket);
+    }
+  }
+
+  private final class ClientInspector extends HttpClient.JmxInspector {
+
+    @Override
+    public void onConnect(HttpRequest request, HttpClientConnection connection) {
+      super.onConnect(request, connection);
+      starting = request.getAttachment(BackendCall.class);
+    }
+
+    @Override
+    public void onConnectError(HttpRequest request, InetSocketAddress address, Exception cause) {
+      super.onConnectError(request, address, cause);
+      request.<BackendCall>getAttachment(BackendCall.class).markConnectFailed();
+    }
+  }
+
+  private final class SocketInspector extends TcpSocket.JmxInspector {
+
+    @Override
+    public void onWrite(TcpSocket socket, ByteBuf buffer, int bytes) {
+      super.onWrite(socket, buffer, bytes);
+      attribute(socket);
+    }
+
+    @Override
+    public void onWriteError(TcpSocket socket, IOException cause) {
+      super.onWriteError(socket, cause);
+      attribute(socket);
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/DispatchedRequest.java
@@ -0,0 +1,103 @@
+package org.toucanrack.internal.transport.http;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.RouteId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.coordination.dispatch.SlotDispatcher;
+import org.toucanrack.internal.coordination.dispatch.SlotGrant;
+import org.toucanrack.internal.coordination.dispatch.SlotListener;
+import org.toucanrack.internal.coordination.dispatch.SlotOutcome;
+import org.toucanrack.internal.coordination.rollout.VersionSelector.Observation;
+import org.toucanrack.internal.protocol.generated.ForwardAnswer;
+import org.toucanrack.internal.protocol.generated.ForwardRequest;
+import org.toucanrack.internal.protocol.generated.VerdictCode;
+
+/**
+ * One request between its submission to the dispatcher and its answer.
+ *
+ * <p>Invariant: each grant is released exactly once, and nothing is sent to a backend server unless
+ * the lease permits it at that time. Thread-safe.
+ */
+final class DispatchedRequest implements SlotListener {
+
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final TrafficCollaborators collaborators;
+  private final SlotDispatcher dispatcher;
+  private final ForwardRequest request;
+  private final long deadlineNanos;
+  private final Function<BackendServer, BackendClient> clients;
+  private final CompletableFuture<ForwardAnswer> answer = new CompletableFuture<>();
+
+  DispatchedRequest(
+      TrafficCollaborators collaborators,
+      SlotDispatcher dispatcher,
+      ForwardRequest request,
+      long deadlineNanos,
+      Function<BackendServer, BackendClient> clients) {
+    this.collaborators = collaborators;
+    this.dispatcher = dispatcher;
+    this.request = request;
+    this.deadlineNanos = deadlineNanos;
+    this.clients = clients;
+  }
+
+  CompletableFuture<ForwardAnswer> answer() {
+    return answer;
+  }
+
+  @Override
+  public void granted(SlotGrant grant) {
+    long now = collaborators.clock().getAsLong();
+    if (!collaborators.snapshot().get().lease().permitsDispatch(now)) {
+      dispatcher.release(grant, SlotOutcome.CANCELLED, now);
+      answer.complete(Answers.notRun(ErrorCode.LEASE_LOST, "This VM may not dispatch now."));
+      return;
+    }
+    clients
+        .apply(grant.server())
+        .call(grant.server(), request, deadlineNanos)
+        .thenAccept(result -> finish(grant, result));
+  }
+
+  @Override
+  public void refused(ErrorCode code, String reason) {
+    answer.complete(Answers.notRun(code, reason));
+  }
+
+  private void finish(SlotGrant grant, ForwardAnswer result) {
+    long now = collaborators.clock().getAsLong();
+    dispatcher.release(grant, outcomeOf(result), now);
+    collaborators.versionSelector().observe(observation(grant, result, now));
+    answer.complete(result);
+  }
+
+  private Observation observation(SlotGrant grant, ForwardAnswer result, long now) {
+    return new Observation(
+        new ServiceId(request.getService()),
+        grant.server().version(),
+        new RouteId(request.getRoute()),
+        new CustomerId(request.getCustomer()),
+        outcomeOf(result) != SlotOutcome.SUCCEEDED,
+        now - grant.grantedAtNanos(),
+        now);
+  }
+
+  private static SlotOutcome outcomeOf(ForwardAnswer result) {
+    if (result.getVerdict() == VerdictCode.VERDICT_RAN) {
+      return result.getStatus() < FIRST_SERVER_ERROR ? SlotOutcome.SUCCEEDED : SlotOutcome.FAILED;
+    }
+    return switch (Answers.codeOf(result)) {
+      case OVERLOADED -> SlotOutcome.SHED;
+      case DEADLINE_EXCEEDED -> SlotOutcome.TIMED_OUT;
+      default ->
+          result.getVerdict() == VerdictCode.VERDICT_NOT_RUN
+              ? SlotOutcome.UNREACHABLE
+              : SlotOutcome.FAILED;
+    };
+  }
+}
