--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/FairSlotDispatcher.java
@@ -0,0 +1,194 @@
+package org.toucanrack.internal.coordination.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.LongPredicate;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.id.BackendServerId;
+
+/**
+ * Dispatches the requests of one service by weighted fair queueing over its customers.
+ *
+ * <p>Invariant: grants in flight at a server never exceed its slots. Thread-safe; listeners are
+ * called without the lock.
+ */
+public final class FairSlotDispatcher implements SlotDispatcher {
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final FairQueue queue = new FairQueue();
+  private final ServerPool pool = new ServerPool();
+  private final int maxQueueLength;
+  private final LongPredicate permitsDispatch;
+
+  /**
+   * Creates a dispatcher without servers.
+   *
+   * @param maxQueueLength requests that may wait
+   * @param permitsDispatch whether the lease of this VM permits a grant at a monotonic time
+   */
+  public FairSlotDispatcher(int maxQueueLength, LongPredicate permitsDispatch) {
+    this.maxQueueLength = maxQueueLength;
+    this.permitsDispatch = permitsDispatch;
+  }
+
+  /** Replaces the owned servers. Requests in flight at servers that were given up stay counted. */
+  public void update(List<OwnedServer> servers, long nowNanos) {
+    locked(
+        calls -> {
+          pool.update(servers);
+          refuseUnservable(calls);
+          dispatch(calls, nowNanos);
+        });
+  }
+
+  /** Calls the listener once, when no request is in flight at the server; at once if so now. */
+  public void whenIdle(BackendServerId server, Runnable listener) {
+    locked(
+        calls -> {
+          Optional<ServerSlots> slots = pool.find(server).filter(found -> !found.isIdle());
+          slots.ifPresentOrElse(
+              found -> found.onIdle(listener), () -> calls.addAll(List.of(listener)));
+        });
+  }
+
+  @Override
+  public void submit(SlotRequest request, SlotListener listener, long nowNanos) {
+    QueuedRequest queued = new QueuedRequest(request, listener);
+    locked(calls -> enqueue(queued, calls, nowNanos));
+  }
+
+  @Override
+  public boolean cancel(String requestId, long nowNanos) {
+    boolean[] cancelled = new boolean[1];
+    locked(
+        calls -> {
+          Optional<QueuedRequest> removed = queue.remove(requestId);
+          removed.ifPresent(
+              queued -> calls.refused(queued, ErrorCode.DEADLINE_EXCEEDED, "cancelled"));
+          cancelled[0] = removed.isPresent();
+        });
+    return cancelled[0];
+  }
+
+  @Override
+  public void release(SlotGrant grant, SlotOutcome outcome, long nowNanos) {
+    locked(
+        calls -> {
+          Optional<ServerSlots> slots = pool.find(grant.server().id());
+          if (slots.isPresent() && slots.get().release(grant)) {
+            released(slots.get(), outcome, calls, nowNanos);
+          }
+        });
+  }
+
+  @Override
+  public void expire(long nowNanos) {
+    locked(
+        calls -> {
+          refuseExpired(calls, nowNanos);
+          dispatch(calls, nowNanos);
+        });
+  }
+
+  @Override
+  public int freeSlots(long nowNanos) {
+    lock.lock();
+    try {
+      return permitsDispatch.test(nowNanos) ? pool.freeSlots(nowNanos) : 0;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void enqueue(QueuedRequest queued, PendingCalls calls, long nowNanos) {
+    if (!permitsDispatch.test(nowNanos)) {
+      calls.refused(queued, ErrorCode.LEASE_LOST, "the lease of this VM is not valid");
+    } else if (!pool.canServe(queued.request())) {
+      calls.refused(queued, ErrorCode.NO_CAPACITY, "no owned backend server can run this");
+    } else if (!queue.add(queued)) {
+      calls.refused(queued, ErrorCode.INVALID_REQUEST, "the request id is already queued");
+    } else {
+      dispatch(calls, nowNanos);
+      refuseIfNotFree(queued.request(), calls);
+      dropOverflow(calls);
+    }
+  }
+
+  private void refuseIfNotFree(SlotRequest request, PendingCalls calls) {
+    if (request.onlyIfFree()) {
+      queue
+          .remove(request.requestId())
+          .ifPresent(queued -> calls.refused(queued, ErrorCode.NO_CAPACITY, "no slot is free now"));
+    }
+  }
+
+  private void dropOverflow(PendingCalls calls) {
+    while (queue.size() > maxQueueLength) {
+      queue
+          .dropFromLargestBacklog()
+          .ifPresent(victim -> calls.refused(victim, ErrorCode.OVERLOADED, "the queue is full"));
+    }
+  }
+
+  private void released(ServerSlots slots, SlotOutcome outcome, PendingCalls calls, long nowNanos) {
+    slots.health().observe(outcome, nowNanos);
+    pool.ejectIfOutlier(slots, nowNanos);
+    if (slots.isIdle()) {
+      calls.addAll(slots.takeIdleListeners());
+    }
+    dispatch(calls, nowNanos);
+  }
+
+  private void dispatch(PendingCalls calls, long nowNanos) {
+    if (!permitsDispatch.test(nowNanos)) {
+      return;
+    }
+    refuseExpired(calls, nowNanos);
+    while (queue.size() > 0 && pool.freeSlots(nowNanos) > 0) {
+      Optional<QueuedRequest> next =
+          queue.takeFirst(queued -> pool.choose(queued.request(), nowNanos).isPresent());
+      if (next.isEmpty()) {
+        return;
+      }
+      grant(next.get(), calls, nowNanos);
+    }
+  }
+
+  private void grant(QueuedRequest queued, PendingCalls calls, long nowNanos) {
+    ServerSlots slots = pool.choose(queued.request(), nowNanos).orElseThrow();
+    calls.granted(queued, slots.grant(queued.request(), nowNanos));
+  }
+
+  private void refuseExpired(PendingCalls calls, long nowNanos) {
+    queue
+        .removeExpired(nowNanos)
+        .forEach(
+            queued ->
+                calls.refused(
+                    queued,
+                    ErrorCode.DEADLINE_EXCEEDED,
+                    "the deadline passed before a slot was free"));
+  }
+
+  private void refuseUnservable(PendingCalls calls) {
+    queue
+        .removeAll(queued -> !pool.canServe(queued.request()))
+        .forEach(
+            queued ->
+                calls.refused(
+                    queued, ErrorCode.NO_CAPACITY, "its backend servers are no longer owned"));
+  }
+
+  private void locked(Consumer<PendingCalls> action) {
+    PendingCalls calls = new PendingCalls();
+    lock.lock();
+    try {
+      action.accept(calls);
+    } finally {
+      lock.unlock();
+    }
+    calls.run();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/OwnedServer.java
@@ -0,0 +1,30 @@
+package org.toucanrack.internal.coordination.dispatch;
+
+import java.util.OptionalLong;
+import org.toucanrack.configuration.BackendServer;
+
+/**
+ * A backend server whose slots this VM owns. Immutable and thread-safe.
+ *
+ * @param server the server
+ * @param usableFromNanos monotonic time at which the quarantine after a takeover ends
+ * @param draining whether the server or this VM's ownership of it is ending
+ * @param concurrency requests to run at the same time now, at most the declared slots
+ * @param candidate whether its version is being rolled out and serves only requests that name it
+ * @param coldStartNanos monotonic time at which the server was seen to start; empty if it is warm
+ * @param reportedLoad load from 0 to 1 as reported by the server itself; only breaks ties
+ */
+public record OwnedServer(
+    BackendServer server,
+    long usableFromNanos,
+    boolean draining,
+    int concurrency,
+    boolean candidate,
+    OptionalLong coldStartNanos,
+    double reportedLoad) {
+
+  /** Limits the concurrency to the declared slots. */
+  public OwnedServer {
+    concurrency = Math.max(0, Math.min(concurrency, server.slots()));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/PendingCalls.java
@@ -0,0 +1,38 @@
+package org.toucanrack.internal.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.toucanrack.ErrorCode;
+
+/** Collects listener calls under the dispatcher's lock and runs them after it. Not thread-safe. */
+final class PendingCalls {
+
+  private final List<Runnable> calls = new ArrayList<>();
+
+  void granted(QueuedRequest queued, SlotGrant grant) {
+    calls.add(() -> queued.listener().granted(grant));
+  }
+
+  void refused(QueuedRequest queued, ErrorCode code, String reason) {
+    calls.add(() -> queued.listener().refused(code, reason));
+  }
+
+  void addAll(List<Runnable> listeners) {
+    calls.addAll(listeners);
+  }
+
+  /** Runs every call; the first exception is thrown again after the last call. */
+  void run() {
+    RuntimeException first = null;
+    for (Runnable call : calls) {
+      try {
+        call.run();
+      } catch (RuntimeException exception) {
+        first = first == null ? exception : first;
+      }
+    }
+    if (first != null) {
+      throw first;
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerShares.java
@@ -0,0 +1,68 @@
+package org.toucanrack.internal.coordination.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.toucanrack.configuration.Customer;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.RateShareId;
+
+/** Splits declared rates into one share per failure domain. Stateless and thread-safe. */
+final class CustomerShares {
+
+  private CustomerShares() {}
+
+  static Map<CustomerId, CustomerShare> of(ControlSnapshot snapshot) {
+    Map<CustomerId, CustomerShare> shares = new HashMap<>();
+    snapshot
+        .configuration()
+        .ifPresent(
+            configuration ->
+                configuration
+                    .deployment()
+                    .customers()
+                    .forEach(
+                        customer ->
+                            shares.put(
+                                customer.id(),
+                                share(customer, configuration.deployment(), snapshot))));
+    return shares;
+  }
+
+  private static CustomerShare share(
+      Customer customer, Deployment deployment, ControlSnapshot snapshot) {
+    List<FailureDomainId> domains = ownDomainFirst(deployment, snapshot);
+    boolean owner = false;
+    Set<Incarnation> givers = new LinkedHashSet<>();
+    for (FailureDomainId domain : domains) {
+      RateShareId id = new RateShareId(customer.id(), domain, 0);
+      Incarnation holder = snapshot.ownership().rateShares().get(id);
+      if (snapshot.self().incarnation().equals(holder)) {
+        owner = true;
+      } else if (holder != null) {
+        givers.add(holder);
+      }
+    }
+    return new CustomerShare(
+        customer.requestsPerSecond() / domains.size(),
+        customer.burst() / domains.size(),
+        owner,
+        new ArrayList<>(givers));
+  }
+
+  private static List<FailureDomainId> ownDomainFirst(
+      Deployment deployment, ControlSnapshot snapshot) {
+    Set<FailureDomainId> domains = new LinkedHashSet<>();
+    domains.add(snapshot.self().failureDomain());
+    domains.addAll(deployment.failureDomains());
+    domains.retainAll(deployment.failureDomains());
+    return List.copyOf(domains);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/EscrowAccount.java
@@ -0,0 +1,123 @@
+package org.toucanrack.internal.coordination.limit;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One share of a customer's rate: a token bucket from which tokens are spent here or lent to other
+ * VMs.
+ *
+ * <p>Invariant: the tokens held plus the loans that their borrowers may still spend never exceed
+ * the share's burst, so that over all VMs at most rate x t + burst requests are admitted in any
+ * interval t. Guarded by the lock of its owner.
+ */
+final class EscrowAccount {
+
+  /** Time from the request for a loan until the borrower discards what it has not spent. */
+  static final long LOAN_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Allows for monotonic clocks of two VMs that differ by up to 1% in speed. */
+  static final long LOAN_RESERVATION_NANOS = LOAN_LIFETIME_NANOS / 100 * 101;
+
+  /** Rounding error of fractional tokens that still counts as a whole token. */
+  static final double ROUNDING_TOKENS = 1e-6;
+
+  private record Loan(double tokens, long endsNanos) {}
+
+  private final Deque<Loan> loans = new ArrayDeque<>();
+  private double tokensPerSecond;
+  private double burst;
+  private double tokens;
+  private double lent;
+  private long accruedAtNanos;
+
+  /**
+   * Creates an empty account. The previous owner may have lent the whole burst just before, hence
+   * the account accrues nothing until such loans have ended.
+   */
+  EscrowAccount(double tokensPerSecond, double burst, long nowNanos) {
+    this.tokensPerSecond = tokensPerSecond;
+    this.burst = burst;
+    this.accruedAtNanos = nowNanos;
+    addLoan(burst, nowNanos);
+  }
+
+  /** Changes the share; tokens over the new burst are discarded. */
+  void configure(double newTokensPerSecond, double newBurst, long nowNanos) {
+    accrue(nowNanos);
+    tokensPerSecond = newTokensPerSecond;
+    burst = newBurst;
+    limit();
+  }
+
+  /** Takes one token to admit a request on this VM. */
+  boolean tryTake(long nowNanos) {
+    accrue(nowNanos);
+    if (tokens < 1 - ROUNDING_TOKENS) {
+      return false;
+    }
+    tokens = Math.max(0, tokens - 1);
+    return true;
+  }
+
+  /** Lends up to the wanted tokens, at most half of those held, and subtracts them at once. */
+  double lend(double wanted, long nowNanos) {
+    accrue(nowNanos);
+    double given = Math.max(0, Math.min(wanted, tokens / 2));
+    if (given > 0) {
+      tokens -= given;
+      addLoan(given, nowNanos);
+    }
+    return given;
+  }
+
+  /** Takes all tokens up to the wanted ones without a loan; the caller spends them at once. */
+  double takeUpTo(double wanted, long nowNanos) {
+    accrue(nowNanos);
+    double taken = Math.min(wanted, tokens);
+    tokens -= taken;
+    return taken;
+  }
+
+  double available(long nowNanos) {
+    accrue(nowNanos);
+    return tokens;
+  }
+
+  double tokensPerSecond() {
+    return tokensPerSecond;
+  }
+
+  private void accrue(long nowNanos) {
+    while (!loans.isEmpty() && nowNanos - loans.peekFirst().endsNanos() >= 0) {
+      Loan ended = loans.removeFirst();
+      accrueUntil(ended.endsNanos());
+      lent -= ended.tokens();
+    }
+    accrueUntil(nowNanos);
+  }
+
+  /** Times before the last accrual, as from another thread, add nothing. */
+  private void accrueUntil(long timeNanos) {
+    long elapsed = timeNanos - accruedAtNanos;
+    if (elapsed > 0) {
+      tokens += tokensPerSecond * elapsed / 1e9;
+      accruedAtNanos = timeNanos;
+      limit();
+    }
+  }
+
+  private void limit() {
+    double outstanding = loans.isEmpty() ? 0 : lent;
+    tokens = Math.max(0, Math.min(tokens, burst - outstanding));
+  }
+
+  private void addLoan(double amount, long nowNanos) {
+    if (loans.isEmpty()) {
+      lent = 0;
+    }
+    loans.addLast(new Loan(amount, nowNanos + LOAN_RESERVATION_NANOS));
+    lent += amount;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/dispatch/FairSlotDispatcherTest.java
@@ -0,0 +1,154 @@
+package org.toucanrack.internal.coordination.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.MILLI;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.NEW;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.OLD;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.SECOND;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.draining;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.request;
+import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.server;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.internal.coordination.dispatch.DispatchFixture.Recorder;
+
+/** Guards against slot excess, unfair service and work for servers that must not get any. */
+class FairSlotDispatcherTest {
+
+  private final FairSlotDispatcher dispatcher = new FairSlotDispatcher(8, now -> true);
+  private final Recorder recorder = new Recorder();
+
+  @Test
+  void grantsNoMoreThanSlotsWhenServerIsGivenUpAndReacquiredWhileBusy() {
+    dispatcher.update(List.of(server("one", 1)), 0);
+    dispatcher.submit(request("a1", "acacia"), recorder, 0);
+
+    dispatcher.update(List.of(), 1);
+    dispatcher.update(List.of(server("one", 1)), 2);
+    dispatcher.submit(request("a2", "acacia"), recorder, 3);
+
+    assertEquals(1, recorder.grants.size());
+  }
+
+  @Test
+  void countsSecondReleaseOfTheSameGrantOnce() {
+    dispatcher.update(List.of(server("one", 1)), 0);
+    dispatcher.submit(request("a1", "acacia"), recorder, 0);
+    final SlotGrant first = recorder.last();
+    dispatcher.release(first, SlotOutcome.SUCCEEDED, 1);
+    dispatcher.submit(request("a2", "acacia"), recorder, 2);
+
+    dispatcher.release(first, SlotOutcome.SUCCEEDED, 3);
+
+    assertEquals(0, dispatcher.freeSlots(4));
+  }
+
+  @Test
+  void servesBackloggedCustomerByWeightAgainstAnotherThatFillsTheQueue() {
+    dispatcher.update(List.of(server("one", 1)), 0);
+    for (int turn = 0; turn < 60; turn++) {
+      for (int copy = 0; copy < 5; copy++) {
+        dispatcher.submit(request("big" + turn + "." + copy, "big"), recorder, turn);
+      }
+      dispatcher.submit(request("small" + turn, "small", 2, 60 * SECOND), recorder, turn);
+      dispatcher.release(recorder.last(), SlotOutcome.SUCCEEDED, turn);
+    }
+
+    assertTrue(recorder.grantsOf("small") >= 38, "small got " + recorder.grantsOf("small"));
+  }
+
+  @Test
+  void dropsFromTheCustomerWithTheLargestBacklogForItsWeight() {
+    dispatcher.update(List.of(server("one", 1)), 0);
+    Recorder small = new Recorder();
+    for (int copy = 0; copy < 9; copy++) {
+      dispatcher.submit(request("big" + copy, "big"), recorder, 0);
+    }
+
+    dispatcher.submit(request("small", "small"), small, 0);
+
+    assertEquals(List.of(ErrorCode.OVERLOADED), recorder.refusals);
+    assertTrue(small.refusals.isEmpty());
+  }
+
+  @Test
+  void refusesRequestWhoseDeadlinePassedInTheQueue() {
+    dispatcher.update(List.of(server("one", 1)), 0);
+    dispatcher.submit(request("a1", "acacia"), recorder, 0);
+    dispatcher.submit(request("a2", "acacia", 1, 5 * MILLI), recorder, 0);
+
+    dispatcher.release(recorder.last(), SlotOutcome.SUCCEEDED, 6 * MILLI);
+
+    assertEquals(List.of(ErrorCode.DEADLINE_EXCEEDED), recorder.refusals);
+    assertEquals(1, recorder.grants.size());
+  }
+
+  @Test
+  void givesDrainingServerNoNewWorkAndReportsWhenItIsIdle() {
+    final boolean[] idle = new boolean[1];
+    dispatcher.update(List.of(server("one", 2)), 0);
+    dispatcher.submit(request("a1", "acacia"), recorder, 0);
+    dispatcher.update(List.of(draining(server("one", 2))), 1);
+    dispatcher.whenIdle(new BackendServerId("one"), () -> idle[0] = true);
+
+    dispatcher.submit(request("a2", "acacia"), recorder, 2);
+    final boolean idleWhileBusy = idle[0];
+    dispatcher.release(recorder.last(), SlotOutcome.SUCCEEDED, 3);
+
+    assertEquals(List.of(ErrorCode.NO_CAPACITY), recorder.refusals);
+    assertEquals(1, recorder.grants.size());
+    assertTrue(!idleWhileBusy && idle[0]);
+  }
+
+  @Test
+  void ejectsFailingServersButNeverMoreThanHalf() {
+    dispatcher.update(List.of(server("one", 1), server("two", 1), server("three", 1)), 0);
+    for (int turn = 0; turn < 100; turn++) {
+      dispatcher.submit(request("a" + turn, "acacia"), recorder, turn);
+      dispatcher.release(recorder.last(), SlotOutcome.FAILED, turn);
+    }
+
+    assertEquals(2, dispatcher.freeSlots(101));
+  }
+
+  @Test
+  void prefersServersWithoutFailuresOverTheirReportedLoad() {
+    dispatcher.update(List.of(server("bad", 3), server("good", 3)), 0);
+    for (int turn = 0; turn < 40; turn++) {
+      dispatcher.submit(request("a" + turn, "acacia"), recorder, turn);
+      boolean bad = recorder.last().server().id().value().equals("bad");
+      dispatcher.release(recorder.last(), bad ? SlotOutcome.FAILED : SlotOutcome.SUCCEEDED, turn);
+    }
+
+    long bad = recorder.grants.stream().filter(g -> g.server().id().value().equals("bad")).count();
+    assertTrue(bad <= 5, "the failing server got " + bad + " of 40");
+  }
+
+  @Test
+  void lowersConcurrencyAfterSheddingAnswerForATime() {
+    dispatcher.update(List.of(server("one", 4)), 0);
+    dispatcher.submit(request("a1", "acacia"), recorder, 0);
+
+    dispatcher.release(recorder.last(), SlotOutcome.SHED, 1);
+
+    assertEquals(2, dispatcher.freeSlots(2));
+    assertEquals(4, dispatcher.freeSlots(1 + ServerHealth.REFUSAL_RECOVERY_NANOS));
+  }
+
+  @Test
+  void runsRequestForCandidateVersionOnlyThereAndOthersNeverThere() {
+    dispatcher.update(List.of(server("old", 1, OLD, false), server("new", 1, NEW, true)), 0);
+
+    dispatcher.submit(request("a1", "acacia"), recorder, 0);
+    dispatcher.submit(request("a2", "acacia"), recorder, 0);
+    dispatcher.submit(request("c1", NEW), recorder, 0);
+
+    assertEquals("old", recorder.grants.get(0).server().id().value());
+    assertEquals("new", recorder.grants.get(1).server().id().value());
+    assertEquals(2, recorder.grants.size());
+  }
+}
