--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/PeerTokens.java
@@ -0,0 +1,75 @@
+package org.toucanrack.internal.serve;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.internal.coordination.limit.TokenExchange;
+import org.toucanrack.internal.coordination.limit.TokenGiver;
+import org.toucanrack.internal.coordination.limit.TokenLoan;
+import org.toucanrack.internal.protocol.generated.PeerEnvelope;
+import org.toucanrack.internal.protocol.generated.TokenAnswer;
+import org.toucanrack.internal.protocol.generated.TokenRequest;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.transport.peer.PeerTransport;
+
+/** Carries requests for rate tokens between VMs. Thread-safe. */
+final class PeerTokens implements TokenExchange {
+
+  private static final Duration TIMEOUT = Duration.ofMillis(200);
+
+  private final PeerTransport peers;
+  private final Supplier<ControlSnapshot> snapshot;
+
+  PeerTokens(PeerTransport peers, Supplier<ControlSnapshot> snapshot) {
+    this.peers = peers;
+    this.snapshot = snapshot;
+  }
+
+  /** Answers requests of other VMs from what the giver owns. */
+  void serve(TokenGiver giver, LongSupplier clock) {
+    peers.handle(
+        PeerEnvelope.BodyCase.TOKEN_REQUEST,
+        (sender, envelope) -> {
+          TokenRequest request = envelope.getTokenRequest();
+          CustomerId customer = new CustomerId(request.getCustomer());
+          TokenLoan loan = giver.lend(customer, request.getTokens(), clock.getAsLong());
+          return CompletableFuture.completedFuture(answer(loan));
+        });
+  }
+
+  @Override
+  public CompletionStage<TokenLoan> request(Incarnation giver, CustomerId customer, double tokens) {
+    Member member = snapshot.get().members().get(giver);
+    if (member == null) {
+      return CompletableFuture.failedFuture(
+          new IllegalStateException("No address is known for " + giver + "."));
+    }
+    TokenRequest.Builder request =
+        TokenRequest.newBuilder().setCustomer(customer.value()).setTokens(tokens);
+    return peers
+        .request(
+            member.peersAddress(),
+            PeerEnvelope.newBuilder().setTokenRequest(request).build(),
+            TIMEOUT)
+        .thenApply(PeerTokens::loan);
+  }
+
+  private static TokenLoan loan(PeerEnvelope envelope) {
+    TokenAnswer answer = envelope.getTokenAnswer();
+    return new TokenLoan(answer.getTokens(), answer.getRetryAfterMillis());
+  }
+
+  private static PeerEnvelope answer(TokenLoan loan) {
+    return PeerEnvelope.newBuilder()
+        .setTokenAnswer(
+            TokenAnswer.newBuilder()
+                .setTokens(loan.tokens())
+                .setRetryAfterMillis(loan.retryAfterMillis()))
+        .build();
+  }
+}
