Thin: platform adapter, configuration, examples and first commands

Cause: the other modules need a readable configuration, the platform port over HTTP and the settings of serve. Ruled out: Jackson's trees for YAML, since they keep no line numbers; reporting needs file and line for every fault. Change: HttpPlatform; strict reading of the declared files; canonical JSON; ConfigurationStore with lost answers resolved by the operation id; examples kalahari and saha; apply, get and serve (settings only, EntryVm is a stub).

--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Program.java
@@ -0,0 +1,78 @@
+package org.toucanrack.internal.command;
+
+import java.io.PrintStream;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.platform.Platform;
+
+/**
+ * The command line: finds the subcommand, runs it and turns failures into exit codes. Immutable.
+ *
+ * <pre>{@code
+ * new Program(System.getenv(), System.out, System.err, HttpPlatform::new).run(List.of("--help"));
+ * }</pre>
+ */
+public final class Program {
+
+  static final List<Command> COMMANDS =
+      List.of(new ServeCommand(), new ApplyCommand(), new GetCommand());
+
+  private final Map<String, String> environment;
+  private final PrintStream out;
+  private final PrintStream err;
+  private final Function<List<URI>, Platform> platforms;
+
+  /** Creates a program with its surroundings. */
+  public Program(
+      Map<String, String> environment,
+      PrintStream out,
+      PrintStream err,
+      Function<List<URI>, Platform> platforms) {
+    this.environment = Map.copyOf(environment);
+    this.out = out;
+    this.err = err;
+    this.platforms = platforms;
+  }
+
+  /** Runs one subcommand. Never throws. */
+  public ExitCode run(List<String> arguments) {
+    try {
+      return dispatch(arguments);
+    } catch (ToucanrackException e) {
+      err.println("toucanrack: " + e.code() + ": " + e.getMessage());
+      return ExitCode.of(e.code());
+    } catch (RuntimeException e) {
+      err.println("toucanrack: " + ErrorCode.INTERNAL + ": " + e + ". Report this fault.");
+      return ExitCode.FAILED;
+    }
+  }
+
+  private ExitCode dispatch(List<String> arguments) {
+    String word = arguments.isEmpty() ? "" : arguments.get(0);
+    if (word.equals("--help") || word.equals("-h") || word.equals("help")) {
+      out.print(HelpText.ofProgram(COMMANDS));
+      return ExitCode.DONE;
+    }
+    Optional<Command> command =
+        COMMANDS.stream().filter(candidate -> candidate.name().equals(word)).findFirst();
+    if (command.isEmpty()) {
+      err.print(HelpText.unknownCommand(word, COMMANDS));
+      return ExitCode.WRONG_USAGE;
+    }
+    return runCommand(command.get(), arguments.subList(1, arguments.size()));
+  }
+
+  private ExitCode runCommand(Command command, List<String> arguments) {
+    if (arguments.contains("--help") || arguments.contains("-h")) {
+      out.print(HelpText.ofCommand(command));
+      return ExitCode.DONE;
+    }
+    Settings settings = Settings.parse(HelpText.allFlags(command), arguments, environment);
+    return command.run(new Invocation(settings, out, platforms));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Settings.java
@@ -0,0 +1,207 @@
+package org.toucanrack.internal.command;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.MissingArgumentException;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.UnrecognizedOptionException;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+
+/**
+ * The settings of one run: flags first, then environment variables, then defaults. Not thread-safe.
+ *
+ * <p>Faults are collected while settings are read and reported together by {@link #throwIfFaulty}.
+ */
+final class Settings {
+
+  private final CommandLine commandLine;
+  private final Map<String, String> environment;
+  private final Set<String> faults = new LinkedHashSet<>();
+
+  private Settings(List<Flag> flags, List<String> arguments, Map<String, String> environment) {
+    this.environment = environment;
+    this.commandLine = parseAll(options(flags), arguments);
+    for (Flag flag : flags) {
+      String[] values = commandLine.getOptionValues(flag.name());
+      if (values != null && values.length > 1) {
+        fault(flag + " is given " + values.length + " times. Give it once.");
+      }
+    }
+  }
+
+  static Settings parse(List<Flag> flags, List<String> arguments, Map<String, String> environment) {
+    return new Settings(flags, arguments, environment);
+  }
+
+  /** Returns the arguments that are no flags. */
+  List<String> positional() {
+    return commandLine.getArgList();
+  }
+
+  boolean isOn(Flag toggle) {
+    if (commandLine.hasOption(toggle.name())) {
+      return true;
+    }
+    String value = environment.get(toggle.variable());
+    if (value == null || value.equals("false")) {
+      return false;
+    }
+    if (!value.equals("true")) {
+      fault("%s is '%s'. Write true or false.".formatted(toggle.variable(), value));
+    }
+    return true;
+  }
+
+  Optional<String> optional(Flag flag) {
+    return Optional.ofNullable(commandLine.getOptionValue(flag.name()))
+        .or(() -> Optional.ofNullable(environment.get(flag.variable())))
+        .filter(value -> !value.isBlank())
+        .or(flag::defaultValue);
+  }
+
+  /** Returns a value, or reports that it is missing and returns an empty text. */
+  String required(Flag flag) {
+    Optional<String> value = optional(flag);
+    if (value.isEmpty()) {
+      fault("%s is missing. Give it, or set %s.".formatted(flag, flag.variable()));
+    }
+    return value.orElse("");
+  }
+
+  String oneOf(Flag flag, String... choices) {
+    String value = required(flag);
+    if (!value.isEmpty() && !Arrays.asList(choices).contains(value)) {
+      fault("%s is '%s'. Write one of: %s.".formatted(flag, value, String.join(", ", choices)));
+    }
+    return value;
+  }
+
+  long number(Flag flag, long min, long max) {
+    String value = required(flag);
+    if (value.isEmpty()) {
+      return min;
+    }
+    try {
+      long number = Long.parseLong(value);
+      if (number >= min && number <= max) {
+        return number;
+      }
+    } catch (NumberFormatException e) {
+      // Reported below, together with numbers out of range.
+    }
+    fault("%s is '%s'. Write a whole number from %d to %d.".formatted(flag, value, min, max));
+    return min;
+  }
+
+  /** Returns a comma-separated list of texts. */
+  List<String> list(Flag flag) {
+    return optional(flag).stream()
+        .flatMap(value -> Arrays.stream(value.split(",")))
+        .map(String::strip)
+        .filter(item -> !item.isEmpty())
+        .toList();
+  }
+
+  /** Returns a comma-separated list of HTTP addresses with at least one. */
+  List<URI> addresses(Flag flag) {
+    required(flag);
+    List<URI> addresses = new ArrayList<>();
+    for (String item : list(flag)) {
+      httpAddress(item)
+          .ifPresentOrElse(
+              addresses::add,
+              () ->
+                  fault(
+                      "%s has '%s'. Write http://HOST:PORT, separated by commas."
+                          .formatted(flag, item)));
+    }
+    return addresses;
+  }
+
+  void fault(String message) {
+    faults.add(message);
+  }
+
+  /** Throws with all faults if there is any. */
+  void throwIfFaulty() {
+    if (!faults.isEmpty()) {
+      throw new ToucanrackException(
+          ErrorCode.INVALID_SETTINGS, "The settings are wrong:\n  " + String.join("\n  ", faults));
+    }
+  }
+
+  private static Optional<URI> httpAddress(String text) {
+    try {
+      URI uri = new URI(text);
+      boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+      boolean bare = uri.getQuery() == null && uri.getFragment() == null;
+      return http && bare && uri.getHost() != null ? Optional.of(uri) : Optional.empty();
+    } catch (URISyntaxException e) {
+      return Optional.empty();
+    }
+  }
+
+  static Options options(List<Flag> flags) {
+    Options options = new Options();
+    for (Flag flag : flags) {
+      options.addOption(
+          Option.builder(flag.shortName().orElse(null))
+              .longOpt(flag.name())
+              .hasArg(flag.argument().isPresent())
+              .argName(flag.argument().orElse(null))
+              .desc(flag.description())
+              .get());
+    }
+    return options;
+  }
+
+  /** Commons CLI stops at the first fault; parsing again without it finds the next one. */
+  private CommandLine parseAll(Options options, List<String> arguments) {
+    List<String> left = new ArrayList<>(arguments);
+    while (true) {
+      try {
+        return DefaultParser.builder()
+            .setAllowPartialMatching(false)
+            .get()
+            .parse(options, left.toArray(String[]::new));
+      } catch (UnrecognizedOptionException e) {
+        fault("There is no flag " + e.getOption() + ". See --help.");
+        left.remove(e.getOption());
+      } catch (MissingArgumentException e) {
+        Option option = e.getOption();
+        fault(
+            "--%s needs a value. Write --%s %s."
+                .formatted(option.getLongOpt(), option.getLongOpt(), option.getArgName()));
+        removeLast(left, option);
+      } catch (ParseException e) {
+        throw new ToucanrackException(ErrorCode.INVALID_SETTINGS, e.getMessage(), e);
+      }
+    }
+  }
+
+  /** Removes the occurrence without value: the last, or one that another flag follows. */
+  private static void removeLast(List<String> left, Option option) {
+    for (int i = left.size() - 1; i >= 0; i--) {
+      boolean matches =
+          left.get(i).equals("--" + option.getLongOpt())
+              || left.get(i).equals("-" + option.getOpt());
+      if (matches && (i + 1 == left.size() || left.get(i + 1).startsWith("-"))) {
+        left.remove(i);
+        return;
+      }
+    }
+    left.clear();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/BackendServerReader.java
@@ -0,0 +1,207 @@
+package org.toucanrack.internal.configuration;
+
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+
+/** Reads backend servers, single ones and groups. Not thread-safe. */
+final class BackendServerReader {
+
+  private static final int MAX_PORT = 65_535;
+  private static final long MAX_GROUP_SIZE = 10_000;
+  private static final long MAX_SLOTS = 10_000;
+  private static final long MAX_CONNECTIONS = 1_000_000;
+  private static final Pattern PORTS = Pattern.compile("([0-9]{1,5})-([0-9]{1,5})");
+  private static final Pattern IPV4 =
+      Pattern.compile("((25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)(\\.(?!$)|$)){4}");
+
+  private final Faults faults;
+  private final Names<FailureDomainId> domains;
+  private final ServiceNames services;
+  private final Names<BackendServerId> names = new Names<>("backend server");
+  private final Map<String, Position> endpoints = new HashMap<>();
+  private final List<BackendServer> servers = new ArrayList<>();
+
+  BackendServerReader(Faults faults, Names<FailureDomainId> domains, ServiceNames services) {
+    this.faults = faults;
+    this.domains = domains;
+    this.services = services;
+  }
+
+  void read(Section root) {
+    root.sections("backendServers", "backend server").forEach(this::readSingle);
+    root.sections("backendServerGroups", "backend server group").forEach(this::readGroup);
+  }
+
+  List<BackendServer> servers() {
+    return servers;
+  }
+
+  /** The fields that single servers and groups share. */
+  private record Common(
+      ServiceId service, VersionId version, String host, int slots, int maxConnections) {}
+
+  private void readSingle(Section section) {
+    faults
+        .unlessFaulty(
+            () -> {
+              BackendServerId id =
+                  section.uniqueName("name", "orders-1", BackendServerId::new, names);
+              Common common = common(section);
+              FailureDomainId domain =
+                  section.reference("failureDomain", FailureDomainId::new, domains);
+              int port = (int) section.integer("port", 1, MAX_PORT);
+              section.rejectUnknownFields();
+              checkEndpoint(section, "port", common.host(), port);
+              return () -> server(id, common, domain, port);
+            })
+        .ifPresent(servers::add);
+  }
+
+  private void readGroup(Section section) {
+    faults
+        .unlessFaulty(
+            () -> {
+              Optional<BackendServerId> group =
+                  section.name("name", "orders", BackendServerId::new);
+              Common common = common(section);
+              List<FailureDomainId> places = places(section);
+              int firstPort = firstPort(section, places.size());
+              section.rejectUnknownFields();
+              String prefix = group.map(BackendServerId::value).orElse("invalid");
+              return () -> members(section, prefix, common, places, firstPort);
+            })
+        .ifPresent(servers::addAll);
+  }
+
+  private Common common(Section section) {
+    ServiceId service = section.reference("service", ServiceId::new, services.services());
+    boolean knownService = services.services().contains(service);
+    VersionId version =
+        section.reference(
+            "version",
+            VersionId::new,
+            knownService ? services.versionsOf(service) : Names.unchecked());
+    String host = host(section);
+    int slots = (int) section.integer("slots", 1, MAX_SLOTS);
+    int connections = (int) section.integer("maxConnections", slots, MAX_CONNECTIONS);
+    return new Common(service, version, host, slots, connections);
+  }
+
+  /** Returns the failure domain of each server of a group, in declared order. */
+  private List<FailureDomainId> places(Section section) {
+    List<FailureDomainId> places = new ArrayList<>();
+    Optional<Section> counts = section.requiredSection("countPerFailureDomain");
+    counts.ifPresent(
+        fields -> {
+          for (String field : List.copyOf(fields.fieldNames())) {
+            Optional<FailureDomainId> domain = fields.fieldAsId(field, FailureDomainId::new);
+            domain.ifPresent(id -> fields.checkReference(fields.position(field), id, domains));
+            long count = fields.integer(field, 0, MAX_GROUP_SIZE);
+            domain.ifPresent(
+                id -> {
+                  for (long i = 0; i < count; i++) {
+                    places.add(id);
+                  }
+                });
+          }
+        });
+    return places;
+  }
+
+  private int firstPort(Section section, int size) {
+    String text = section.text("ports", "20001-20015");
+    Matcher matcher = PORTS.matcher(text);
+    if (!matcher.matches()) {
+      section.fault(
+          "ports",
+          "'%s' is no port range. Write FIRST-LAST, for example 20001-20015.".formatted(text));
+      return 1;
+    }
+    int first = Integer.parseInt(matcher.group(1));
+    int last = Integer.parseInt(matcher.group(2));
+    if (first < 1 || last > MAX_PORT || last - first + 1 != size) {
+      section.fault(
+          "ports",
+          "the range %s holds %d ports, but the group has %d servers. Write %d-%d."
+              .formatted(text, last - first + 1, size, first, first + size - 1));
+    }
+    return first;
+  }
+
+  private List<BackendServer> members(
+      Section section, String prefix, Common common, List<FailureDomainId> places, int firstPort) {
+    Map<FailureDomainId, Integer> numbers = new HashMap<>();
+    List<BackendServer> members = new ArrayList<>();
+    for (int i = 0; i < places.size(); i++) {
+      FailureDomainId place = places.get(i);
+      int number = numbers.merge(place, 1, Integer::sum);
+      BackendServerId id = new BackendServerId(prefix + "-" + place + "-" + number);
+      if (!names.add(id, section.position())) {
+        section.fault(
+            "name",
+            "the server name '%s' is already used at %s. Choose another group name."
+                .formatted(id, names.position(id)));
+      }
+      checkEndpoint(section, "ports", common.host(), firstPort + i);
+      members.add(server(id, common, place, firstPort + i));
+    }
+    return members;
+  }
+
+  private static BackendServer server(
+      BackendServerId id, Common common, FailureDomainId domain, int port) {
+    return new BackendServer(
+        id,
+        common.service(),
+        common.version(),
+        domain,
+        common.host(),
+        port,
+        common.slots(),
+        common.maxConnections());
+  }
+
+  private void checkEndpoint(Section section, String field, String host, int port) {
+    String endpoint = host + ":" + port;
+    Position earlier = endpoints.putIfAbsent(endpoint, section.position(field));
+    if (earlier != null) {
+      section.fault(
+          field,
+          "%s is already used by a server at %s. Choose another port."
+              .formatted(endpoint, earlier));
+    }
+  }
+
+  private static String host(Section section) {
+    String host = section.text("host", "'10.0.0.1'");
+    if (!isIpNumber(host)) {
+      section.fault(
+          "host", "'%s' is no IP number. Write one, for example 10.0.0.1.".formatted(host));
+    }
+    return host;
+  }
+
+  private static boolean isIpNumber(String host) {
+    if (host.indexOf(':') < 0) {
+      return IPV4.matcher(host).matches();
+    }
+    try {
+      // A text with a colon is never resolved by name.
+      return InetAddress.getByName(host) != null;
+    } catch (UnknownHostException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationStore.java
@@ -0,0 +1,218 @@
+package org.toucanrack.internal.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongConsumer;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.configuration.Configuration;
+import org.toucanrack.platform.ObjectStore;
+import org.toucanrack.platform.Row;
+import org.toucanrack.platform.StoreAnswer;
+import org.toucanrack.platform.TableService;
+import org.toucanrack.platform.Transaction;
+import org.toucanrack.platform.Transaction.Condition;
+import org.toucanrack.platform.Transaction.Write;
+
+/**
+ * The version sequence of the configuration. Thread-safe.
+ *
+ * <p>Invariant: version N+1 is written only while version N is current, in one transaction with the
+ * row of the current version; the body is stored before.
+ */
+public final class ConfigurationStore {
+
+  /** Key of the row that names the current version. */
+  public static final String CURRENT_KEY = "configuration/current";
+
+  private static final String VERSION_PREFIX = "configuration/version/";
+  private static final int MAX_ATTEMPTS = 5;
+  private static final long FIRST_PAUSE_MILLIS = 200;
+
+  private final TableService tables;
+  private final ObjectStore objects;
+  private final LongConsumer pauseMillis;
+
+  /** Creates a store; {@code pauseMillis} waits between attempts of {@link #publish}. */
+  public ConfigurationStore(TableService tables, ObjectStore objects, LongConsumer pauseMillis) {
+    this.tables = tables;
+    this.objects = objects;
+    this.pauseMillis = pauseMillis;
+  }
+
+  /** Reads which version is current; empty if none was accepted yet. */
+  public CompletionStage<StoreAnswer<Optional<CurrentVersion>>> current() {
+    return tables.get(CURRENT_KEY).thenApply(answer -> map(answer, ConfigurationStore::decode));
+  }
+
+  /** Reads the body of a version and checks it against its hash. */
+  public CompletionStage<StoreAnswer<Configuration>> body(VersionRecord version) {
+    return objects
+        .get(version.objectName())
+        .thenApply(answer -> map(answer, content -> decode(version, content)));
+  }
+
+  /**
+   * Publishes a version and returns its number. Blocks; for the command line.
+   *
+   * <p>Throws with {@code CONFLICT} if another version came first, {@code PLATFORM_UNAVAILABLE} if
+   * nothing was written, and {@code OUTCOME_UNKNOWN} if it could not be found out.
+   */
+  public long publish(Publication publication) {
+    byte[] body = ConfigurationCodec.encode(publication.configuration());
+    VersionRecord next =
+        new VersionRecord(
+            publication.basedOn() + 1,
+            Sha256.hex(body),
+            publication.basedOn(),
+            publication.operation(),
+            publication.writer());
+    long rowVersion = requireCurrent(publication.basedOn());
+    storeBody(next, body);
+    commit(next, rowVersion);
+    return next.version();
+  }
+
+  private long requireCurrent(long basedOn) {
+    Optional<CurrentVersion> current = await("read the current version", this::current).orThrow();
+    long version = current.map(found -> found.record().version()).orElse(0L);
+    if (version != basedOn) {
+      throw conflict(basedOn, "version " + version + " is current");
+    }
+    return current.map(CurrentVersion::rowVersion).orElse(0L);
+  }
+
+  private void storeBody(VersionRecord next, byte[] body) {
+    await("store the body", () -> objects.put(next.objectName(), body)).orThrow();
+  }
+
+  private void commit(VersionRecord next, long rowVersion) {
+    Transaction transaction = transaction(next, rowVersion);
+    String reason = "";
+    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      pauseBefore(attempt);
+      StoreAnswer<Void> answer = join(tables.commit(transaction));
+      if (answer.isDone()) {
+        return;
+      }
+      if (answer instanceof StoreAnswer.Refused<Void> refused && attempt == 0) {
+        throw conflict(next.basedOn(), refused.reason());
+      }
+      if (wasWritten(next)) {
+        return;
+      }
+      reason = reason(answer);
+    }
+    throw unknownOutcome(next, reason);
+  }
+
+  /** Returns whether the version is written; throws if another one took its place. */
+  private boolean wasWritten(VersionRecord next) {
+    StoreAnswer<Optional<Row>> answer = join(tables.get(VERSION_PREFIX + next.version()));
+    if (!(answer instanceof StoreAnswer.Done<Optional<Row>> done) || done.value().isEmpty()) {
+      return false;
+    }
+    VersionRecord written = VersionRecord.decode(done.value().get().value());
+    if (written.operation().equals(next.operation())) {
+      return true;
+    }
+    throw conflict(
+        next.basedOn(), "version " + written.version() + " was written by " + written.writer());
+  }
+
+  private static Transaction transaction(VersionRecord next, long rowVersion) {
+    String versionKey = VERSION_PREFIX + next.version();
+    Optional<String> value = Optional.of(next.encode());
+    return new Transaction(
+        next.operation(),
+        List.of(new Condition(CURRENT_KEY, rowVersion), new Condition(versionKey, 0)),
+        List.of(new Write(CURRENT_KEY, value), new Write(versionKey, value)));
+  }
+
+  private <T> StoreAnswer<T> await(String what, Call<T> call) {
+    StoreAnswer<T> answer = new StoreAnswer.Unknown<>(what);
+    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      pauseBefore(attempt);
+      answer = join(call.start());
+      if (!(answer instanceof StoreAnswer.Unknown<T>)) {
+        return answer;
+      }
+    }
+    return new StoreAnswer.Unknown<>(
+        "The platform did not answer (%s: %s). Nothing was changed; try again later."
+            .formatted(what, reason(answer)));
+  }
+
+  private interface Call<T> {
+    CompletionStage<StoreAnswer<T>> start();
+  }
+
+  private void pauseBefore(int attempt) {
+    if (attempt > 0) {
+      pauseMillis.accept(FIRST_PAUSE_MILLIS << (attempt - 1));
+    }
+  }
+
+  private static <T> StoreAnswer<T> join(CompletionStage<StoreAnswer<T>> stage) {
+    return stage.toCompletableFuture().join();
+  }
+
+  private static String reason(StoreAnswer<?> answer) {
+    if (answer instanceof StoreAnswer.Unknown<?> unknown) {
+      return unknown.reason();
+    }
+    return answer instanceof StoreAnswer.Refused<?> refused ? refused.reason() : "done";
+  }
+
+  private static ToucanrackException conflict(long basedOn, String what) {
+    return new ToucanrackException(
+        ErrorCode.CONFLICT,
+        "The change is based on version %d, but %s. Run 'toucanrack plan' and apply again."
+            .formatted(basedOn, what));
+  }
+
+  private static ToucanrackException unknownOutcome(VersionRecord next, String reason) {
+    return new ToucanrackException(
+        ErrorCode.OUTCOME_UNKNOWN,
+        ("Version %d may have been accepted; the platform did not answer (%s)."
+                + " Run 'toucanrack get' and look for operation %s.")
+            .formatted(next.version(), reason, next.operation()));
+  }
+
+  private static Optional<CurrentVersion> decode(Optional<Row> row) {
+    return row.map(
+        found -> new CurrentVersion(VersionRecord.decode(found.value()), found.version()));
+  }
+
+  private static Configuration decode(VersionRecord version, Optional<byte[]> content) {
+    byte[] body = content.orElseThrow(() -> damaged(version, "is missing from the object store"));
+    if (!Sha256.hex(body).equals(version.hash())) {
+      throw damaged(version, "does not match its hash");
+    }
+    return ConfigurationCodec.decode(body);
+  }
+
+  private static ToucanrackException damaged(VersionRecord version, String what) {
+    return new ToucanrackException(
+        ErrorCode.INVALID_CONFIGURATION,
+        "The body of version %d %s. Apply the configuration again, based on version %d."
+            .formatted(version.version(), what, version.version()));
+  }
+
+  /** Maps a value; an unreadable one is an unknown answer, so that no stage fails. */
+  private static <T, R> StoreAnswer<R> map(
+      StoreAnswer<T> answer, java.util.function.Function<T, R> mapping) {
+    if (answer instanceof StoreAnswer.Done<T> done) {
+      try {
+        return new StoreAnswer.Done<>(mapping.apply(done.value()));
+      } catch (ToucanrackException e) {
+        return new StoreAnswer.Unknown<>(e.getMessage());
+      }
+    }
+    if (answer instanceof StoreAnswer.Refused<T> refused) {
+      return new StoreAnswer.Refused<>(refused.reason());
+    }
+    return new StoreAnswer.Unknown<>(((StoreAnswer.Unknown<T>) answer).reason());
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/DeploymentReader.java
@@ -0,0 +1,213 @@
+package org.toucanrack.internal.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.toucanrack.configuration.Customer;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.Region;
+import org.toucanrack.configuration.RegionLink;
+import org.toucanrack.configuration.Rules;
+import org.toucanrack.configuration.ShiftRule;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.RegionId;
+
+/**
+ * Reads a deployment from the merged files and reports every fault. Not thread-safe.
+ *
+ * <p>Sections are read in the order of their references: a section refers only to names of sections
+ * that were read before it.
+ */
+final class DeploymentReader {
+
+  private static final long MAX_LINK_BITS_PER_SECOND = 100_000_000_000_000L;
+  private static final long MAX_WINDOW_SECONDS = 3_600;
+  private static final long DEFAULT_WINDOW_SECONDS = 10;
+  private static final double DEFAULT_SHIFT_CAP = 0.1;
+  private static final long MAX_LOOKUP_TTL_SECONDS = 300;
+  private static final long DEFAULT_LOOKUP_TTL_SECONDS = 10;
+  // A revoked key must stop working within 5 s; 1 s of these is the interval of the reads.
+  private static final long MAX_KEY_FRESHNESS_SECONDS = 4;
+
+  private final Faults faults;
+  private final Names<RegionId> regions = new Names<>("region");
+  private final Names<FailureDomainId> domains = new Names<>("failure domain");
+  private final Names<CustomerId> customers = new Names<>("customer");
+
+  DeploymentReader(Faults faults) {
+    this.faults = faults;
+  }
+
+  /** Returns the deployment, or empty if any fault was reported. */
+  Optional<Deployment> read(YamlNode.Mapping merged) {
+    return faults.unlessFaulty(
+        () -> {
+          Section root = new Section(merged, "", faults);
+          ServiceReader serviceReader = new ServiceReader(faults);
+          final String name =
+              root.name("name", "kalahari", RegionId::new).map(RegionId::value).orElse("");
+          final List<Region> declaredRegions = regions(root);
+          final List<RegionLink> links = links(root);
+          serviceReader.read(root);
+          final List<Customer> declaredCustomers = customers(root, serviceReader.hasOpenRoute());
+          BackendServerReader servers =
+              new BackendServerReader(faults, domains, serviceReader.services());
+          servers.read(root);
+          serviceReader.checkCarried(servers.servers());
+          Rules rules = rules(root);
+          root.rejectUnknownFields();
+          return () ->
+              new Deployment(
+                  name,
+                  declaredRegions,
+                  links,
+                  serviceReader.declaredServices(),
+                  serviceReader.declaredVersions(),
+                  servers.servers(),
+                  declaredCustomers,
+                  rules);
+        });
+  }
+
+  private List<Region> regions(Section root) {
+    List<Region> declared = new ArrayList<>();
+    List<Section> sections = root.sections("regions", "region");
+    if (sections.isEmpty()) {
+      root.fault("regions", "no region is declared. Write at least one with its failure domains.");
+    }
+    for (Section section : sections) {
+      faults
+          .unlessFaulty(
+              () -> {
+                RegionId id = section.uniqueName("name", "khomas", RegionId::new, regions);
+                List<FailureDomainId> ids = domainsOf(section);
+                section.rejectUnknownFields();
+                return () -> new Region(id, ids);
+              })
+          .ifPresent(declared::add);
+    }
+    return declared;
+  }
+
+  private List<FailureDomainId> domainsOf(Section section) {
+    String field = "failureDomains";
+    List<FailureDomainId> ids = section.ids(field, "[khomas-a]", FailureDomainId::new);
+    if (ids.isEmpty()) {
+      section.fault(field, "the region has no failure domain. Write at least one.");
+    }
+    for (FailureDomainId id : ids) {
+      if (!domains.add(id, section.position(field))) {
+        section.fault(
+            field,
+            "the failure domain '%s' is already declared at %s. Choose another name."
+                .formatted(id, domains.position(id)));
+      }
+    }
+    return ids;
+  }
+
+  private List<RegionLink> links(Section root) {
+    List<RegionLink> declared = new ArrayList<>();
+    for (Section section : root.sections("links", "link")) {
+      faults
+          .unlessFaulty(
+              () -> {
+                RegionId first = section.reference("first", RegionId::new, regions);
+                RegionId second = section.reference("second", RegionId::new, regions);
+                long bits = section.integer("bitsPerSecond", 1, MAX_LINK_BITS_PER_SECOND);
+                section.rejectUnknownFields();
+                checkPair(section, first, second, declared);
+                return () -> new RegionLink(first, second, bits);
+              })
+          .ifPresent(declared::add);
+    }
+    return declared;
+  }
+
+  private static void checkPair(
+      Section section, RegionId first, RegionId second, List<RegionLink> declared) {
+    if (first.equals(second)) {
+      section.fault("second", "the link joins '" + first + "' with itself. Name two regions.");
+    }
+    if (declared.stream().anyMatch(link -> link.joins(first, second))) {
+      section.fault(
+          "first", "the link of %s and %s is given twice. Remove one.".formatted(first, second));
+    }
+  }
+
+  private List<Customer> customers(Section root, boolean hasOpenRoute) {
+    List<Customer> declared = new ArrayList<>();
+    for (Section section : root.sections("customers", "customer")) {
+      faults
+          .unlessFaulty(
+              () -> {
+                CustomerId id = section.uniqueName("name", "otavi", CustomerId::new, customers);
+                double rate = section.decimal("requestsPerSecond", "0.001", "10000000");
+                double burst = section.decimal("burst", "1", "10000000");
+                double weight = section.decimalOr("weight", "0.001", "1000", 1);
+                section.rejectUnknownFields();
+                checkBurst(section, burst);
+                return () -> new Customer(id, rate, burst, weight);
+              })
+          .ifPresent(declared::add);
+    }
+    if (hasOpenRoute && !customers.contains(ReservedNames.ANONYMOUS)) {
+      root.fault(
+          "customers",
+          "a route is open, but the customer 'anonymous' that open routes are accounted to is"
+              + " missing. Declare it with a rate and a burst.");
+    }
+    return declared;
+  }
+
+  /** Each failure domain holds a share of the burst; a share below 1 can never hold a token. */
+  private void checkBurst(Section section, double burst) {
+    int shares = domains.all().size();
+    if (burst < shares) {
+      section.fault(
+          "burst",
+          "the burst is split over %d failure domains and must give each at least 1 request."
+                  .formatted(shares)
+              + " Write %d or more.".formatted(shares));
+    }
+  }
+
+  private Rules rules(Section root) {
+    Optional<Section> section = root.section("rules");
+    ShiftRule shift =
+        section.flatMap(rules -> rules.section("shift")).map(this::shift).orElse(defaultShift());
+    long timeToLive =
+        section
+            .map(
+                rules ->
+                    rules.integerOr(
+                        "lookupTtlSeconds", 1, MAX_LOOKUP_TTL_SECONDS, DEFAULT_LOOKUP_TTL_SECONDS))
+            .orElse(DEFAULT_LOOKUP_TTL_SECONDS);
+    long keyFreshness =
+        section
+            .map(
+                rules ->
+                    rules.integerOr(
+                        "keyFreshnessSeconds",
+                        1,
+                        MAX_KEY_FRESHNESS_SECONDS,
+                        MAX_KEY_FRESHNESS_SECONDS))
+            .orElse(MAX_KEY_FRESHNESS_SECONDS);
+    section.ifPresent(Section::rejectUnknownFields);
+    return new Rules(shift, Duration.ofSeconds(timeToLive), Duration.ofSeconds(keyFreshness));
+  }
+
+  private ShiftRule shift(Section section) {
+    double cap = section.decimalOr("capFraction", "0.001", "1", DEFAULT_SHIFT_CAP);
+    long window = section.integerOr("windowSeconds", 1, MAX_WINDOW_SECONDS, DEFAULT_WINDOW_SECONDS);
+    section.rejectUnknownFields();
+    boolean valid = cap > 0 && cap <= 1;
+    return valid ? new ShiftRule(cap, Duration.ofSeconds(window)) : defaultShift();
+  }
+
+  private static ShiftRule defaultShift() {
+    return new ShiftRule(DEFAULT_SHIFT_CAP, Duration.ofSeconds(DEFAULT_WINDOW_SECONDS));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/Names.java
@@ -0,0 +1,55 @@
+package org.toucanrack.internal.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** The declared names of one kind and where they are declared. Not thread-safe. */
+class Names<T> {
+
+  private final String kind;
+  private final Map<T, Position> positions = new LinkedHashMap<>();
+
+  Names(String kind) {
+    this.kind = kind;
+  }
+
+  /** Returns names that contain every name, for references that cannot be checked. */
+  static <T> Names<T> unchecked() {
+    return new Names<>("name") {
+      @Override
+      boolean contains(T name) {
+        return true;
+      }
+    };
+  }
+
+  String kind() {
+    return kind;
+  }
+
+  /** Adds a name; returns false if it is there already. */
+  boolean add(T name, Position position) {
+    return positions.putIfAbsent(name, position) == null;
+  }
+
+  boolean contains(T name) {
+    return positions.containsKey(name);
+  }
+
+  Position position(T name) {
+    return positions.get(name);
+  }
+
+  Set<T> all() {
+    return positions.keySet();
+  }
+
+  String list() {
+    if (positions.isEmpty()) {
+      return "(none is declared)";
+    }
+    return positions.keySet().stream().map(Object::toString).collect(Collectors.joining(", "));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/HttpPlatform.java
@@ -0,0 +1,65 @@
+package org.toucanrack.internal.transport.platform;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import org.toucanrack.platform.ObjectStore;
+import org.toucanrack.platform.Platform;
+import org.toucanrack.platform.TableService;
+import org.toucanrack.platform.VmDirectory;
+
+/**
+ * The platform port over HTTP. Thread-safe.
+ *
+ * <p>Invariant: no call throws or completes exceptionally, and each completes within the time limit
+ * multiplied by the number of platform addresses.
+ *
+ * <pre>{@code
+ * try (Platform platform = new HttpPlatform(List.of(URI.create("http://127.0.0.1:19000")))) {
+ *   platform.tables().get("configuration/current");
+ * }
+ * }</pre>
+ */
+public final class HttpPlatform implements Platform {
+
+  /** Time limit of one call to one address. Half of the time that keys stay fresh without proof. */
+  public static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+  private final PlatformCalls calls;
+  private final TableService tables;
+  private final ObjectStore objects;
+  private final VmDirectory vms;
+
+  /** Creates an adapter with the default time limit; the addresses are tried in order. */
+  public HttpPlatform(List<URI> addresses) {
+    this(addresses, CALL_TIMEOUT);
+  }
+
+  /** Creates an adapter; the addresses are tried in order. */
+  public HttpPlatform(List<URI> addresses, Duration callTimeout) {
+    this.calls = new PlatformCalls(addresses, callTimeout);
+    this.tables = new HttpTableService(calls);
+    this.objects = new HttpObjectStore(calls);
+    this.vms = new HttpVmDirectory(calls);
+  }
+
+  @Override
+  public TableService tables() {
+    return tables;
+  }
+
+  @Override
+  public ObjectStore objects() {
+    return objects;
+  }
+
+  @Override
+  public VmDirectory vms() {
+    return vms;
+  }
+
+  @Override
+  public void close() {
+    calls.close();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/HttpVmDirectory.java
@@ -0,0 +1,37 @@
+package org.toucanrack.internal.transport.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.toucanrack.id.VmId;
+import org.toucanrack.platform.StoreAnswer;
+import org.toucanrack.platform.VmDirectory;
+
+/** The list of VMs over HTTP. Thread-safe. */
+final class HttpVmDirectory implements VmDirectory {
+
+  private final PlatformCalls calls;
+
+  HttpVmDirectory(PlatformCalls calls) {
+    this.calls = calls;
+  }
+
+  @Override
+  public CompletionStage<StoreAnswer<List<Listing>>> list() {
+    return calls.get("/vms", HttpVmDirectory::decode);
+  }
+
+  private static List<Listing> decode(int status, byte[] body) throws IOException {
+    List<Listing> listings = new ArrayList<>();
+    for (JsonNode node : PlatformCalls.required(PlatformCalls.json(status, body), "vms")) {
+      listings.add(
+          new Listing(
+              new VmId(PlatformCalls.required(node, "vm").asText()),
+              PlatformCalls.required(node, "peerAddress").asText(),
+              PlatformCalls.required(node, "leaving").asBoolean()));
+    }
+    return List.copyOf(listings);
+  }
+}
