Thin: peer transport, domain rows, leases and the control loop

Ruled out: ActiveJ's scheduler on the wall clock; the event loop gets the monotonic clock as its time. Announcements as proof of fresh keys; their age on arrival is not known. Change: NettyPeerTransport (varint length prefix, HMAC-SHA256 challenge both ways, correlation ids, bounds); the domain row with its updater, lease keeper and takeover judge; ControlCore (events in, actions out) and ControlPlane, which runs it on an ActiveJ event loop. Heartbeats carry the row's generation, so that rows are sent only after a change.

--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/Actions.java
@@ -0,0 +1,20 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects the actions of one event. Used by the control loop only. */
+final class Actions {
+
+  private List<ControlAction> collected = new ArrayList<>();
+
+  void add(ControlAction action) {
+    collected.add(action);
+  }
+
+  List<ControlAction> take() {
+    List<ControlAction> taken = collected;
+    collected = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ControlAction.java
@@ -0,0 +1,49 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.concurrent.CompletableFuture;
+import org.toucanrack.internal.protocol.generated.PeerEnvelope;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.platform.Transaction;
+
+/** What the control loop asks for. Immutable and thread-safe. */
+public sealed interface ControlAction {
+
+  /** Reads a row of the table. */
+  record ReadRow(String key, Purpose purpose) implements ControlAction {}
+
+  /** Lists rows of the table. */
+  record ListRows(String prefix) implements ControlAction {}
+
+  /** Commits a transaction. */
+  record Commit(Transaction transaction) implements ControlAction {}
+
+  /** Reads an object. */
+  record ReadObject(String name) implements ControlAction {}
+
+  /** Lists the platform's VMs. */
+  record ListVms() implements ControlAction {}
+
+  /** Sends a request to a peer. */
+  record Request(PeerCall call, PeerEnvelope envelope, long timeoutMillis)
+      implements ControlAction {}
+
+  /** Sends a message without answer to a peer. */
+  record Send(String address, PeerEnvelope envelope) implements ControlAction {}
+
+  /** Answers a request of a peer. */
+  record Reply(CompletableFuture<PeerEnvelope> reply, PeerEnvelope envelope)
+      implements ControlAction {}
+
+  /** Publishes a snapshot. */
+  record Publish(ControlSnapshot snapshot) implements ControlAction {}
+
+  /** Why a row is read. */
+  enum Purpose {
+    /** To write the domain row next. */
+    WRITE,
+    /** To learn the domain row. */
+    LEARN,
+    /** To learn the current version of the configuration. */
+    CURRENT_VERSION
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ControlState.java
@@ -0,0 +1,101 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.internal.coordination.lease.LeaseKeeper;
+import org.toucanrack.internal.coordination.lease.TakeoverJudge;
+import org.toucanrack.internal.state.Member;
+
+/** What the parts of the control loop share. Used by the control loop only. */
+final class ControlState {
+
+  final DomainRows rows = new DomainRows();
+  final StoreReach store = new StoreReach();
+  final PeerContacts contacts = new PeerContacts();
+  final OperatorRecords records = new OperatorRecords();
+  final KeyProof proof = new KeyProof();
+  final Readiness readiness = new Readiness();
+  final ConfigurationAdoption configuration;
+  final LeaseKeeper lease;
+  final TakeoverJudge judge;
+  private Member self;
+  private boolean relayReportsStoreDown;
+  private long lastRelayAnswerNanos;
+
+  ControlState(Member self, ConfigurationDecoder decoder, long nowNanos) {
+    this.self = self;
+    this.configuration = new ConfigurationAdoption(decoder, nowNanos);
+    this.lease = new LeaseKeeper(self.incarnation(), nowNanos);
+    this.judge = new TakeoverJudge(self.incarnation());
+    this.lastRelayAnswerNanos = nowNanos;
+  }
+
+  Member self() {
+    return self;
+  }
+
+  Incarnation id() {
+    return self.incarnation();
+  }
+
+  FailureDomainId domain() {
+    return self.failureDomain();
+  }
+
+  Optional<DomainRows.KnownRow> ownRow() {
+    return rows.of(domain());
+  }
+
+  /** Returns the members of the own failure domain without this VM, in relay order. */
+  List<Member> neighbours() {
+    return rows.relayOrder(domain()).stream()
+        .filter(member -> !member.incarnation().equals(id()))
+        .toList();
+  }
+
+  void startDraining() {
+    self =
+        new Member(
+            self.incarnation(),
+            self.failureDomain(),
+            self.callersAddress(),
+            self.peersAddress(),
+            true);
+  }
+
+  /** Returns the relay of the own failure domain as this VM sees it; possibly this VM. */
+  Member relay() {
+    return Stream.concat(Stream.of(self), neighbours().stream())
+        .sorted(DomainRows.RELAY_ORDER)
+        .filter(member -> isSelf(member) || !contacts.isSuspect(member.peersAddress()))
+        .findFirst()
+        .orElse(self);
+  }
+
+  boolean isRelay() {
+    return isSelf(relay());
+  }
+
+  boolean isSelf(Member member) {
+    return member.incarnation().equals(id());
+  }
+
+  void relayAnswered(boolean storeReachable, long nowNanos) {
+    relayReportsStoreDown = !storeReachable;
+    lastRelayAnswerNanos = nowNanos;
+  }
+
+  /** Returns whether this VM has to ask the store and all members itself. */
+  boolean needsOwnView(long nowNanos) {
+    long sinceRenewal = LeaseKeeper.LEASE_NANOS - lease.remainingNanos(nowNanos);
+    return store.hasFailed()
+        || relayReportsStoreDown
+        || !readiness.isReady()
+        || lease.isFenced()
+        || sinceRenewal > ControlTimings.RENEWAL_CONCERN_NANOS
+        || nowNanos - lastRelayAnswerNanos > ControlTimings.SILENCE_NANOS;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/DomainRows.java
@@ -0,0 +1,97 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.internal.coordination.lease.DomainRow;
+import org.toucanrack.internal.coordination.lease.RowMember;
+import org.toucanrack.internal.state.Member;
+
+/**
+ * The newest known row of each failure domain. Used by the control loop only.
+ *
+ * <p>Invariant: a row is replaced by rows of higher versions only.
+ */
+final class DomainRows {
+
+  private final Map<FailureDomainId, KnownRow> rows = new HashMap<>();
+  private long changes;
+
+  /** Takes in a row that is known to be in the table; returns whether it is news. */
+  boolean learn(DomainRow row, String text, long version, long nowNanos) {
+    KnownRow known = rows.get(row.failureDomain());
+    if (known != null && known.version() >= version) {
+      return false;
+    }
+    boolean changed = known == null || known.row().generation() != row.generation();
+    long firstKnownAt = known == null ? nowNanos : known.firstKnownAtNanos();
+    rows.put(row.failureDomain(), new KnownRow(row, text, version, firstKnownAt));
+    if (changed) {
+      changes++;
+    }
+    return true;
+  }
+
+  /** Notes a higher version of a row whose generation is unchanged. */
+  void learnVersion(FailureDomainId domain, long generation, long version) {
+    KnownRow known = rows.get(domain);
+    if (known != null && known.row().generation() == generation && known.version() < version) {
+      rows.put(domain, new KnownRow(known.row(), known.text(), version, known.firstKnownAtNanos()));
+    }
+  }
+
+  Optional<KnownRow> of(FailureDomainId domain) {
+    return Optional.ofNullable(rows.get(domain));
+  }
+
+  Collection<KnownRow> all() {
+    return Collections.unmodifiableCollection(rows.values());
+  }
+
+  /** Rises with each change of members or owners. */
+  long changes() {
+    return changes;
+  }
+
+  /** Returns the members of a failure domain in the order in which they become relay. */
+  List<Member> relayOrder(FailureDomainId domain) {
+    return of(domain).stream()
+        .flatMap(known -> known.row().members().values().stream())
+        .map(RowMember::member)
+        .sorted(RELAY_ORDER)
+        .toList();
+  }
+
+  /** Returns the relay: the first member in order that is not excluded. */
+  Optional<Member> relay(FailureDomainId domain, Predicate<Member> excluded) {
+    return relayOrder(domain).stream().filter(excluded.negate()).findFirst();
+  }
+
+  Map<Incarnation, Member> members() {
+    Map<Incarnation, Member> members = new LinkedHashMap<>();
+    rows.values()
+        .forEach(
+            known ->
+                known.row().members().forEach((id, member) -> members.put(id, member.member())));
+    return members;
+  }
+
+  static final Comparator<Member> RELAY_ORDER =
+      Comparator.comparing(Member::draining)
+          .thenComparing(member -> member.incarnation().vm())
+          .thenComparing(member -> member.incarnation().number());
+
+  /**
+   * A row with its version in the table. The renewal counters may be older than the version, since
+   * peers pass on rows of new generations only.
+   */
+  record KnownRow(DomainRow row, String text, long version, long firstKnownAtNanos) {}
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/HeartbeatReplies.java
@@ -0,0 +1,121 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.internal.coordination.lease.ResourceId;
+import org.toucanrack.internal.coordination.lease.RowMember;
+import org.toucanrack.internal.protocol.generated.DomainRowCopy;
+import org.toucanrack.internal.protocol.generated.Heartbeat;
+import org.toucanrack.internal.protocol.generated.HeartbeatAnswer;
+import org.toucanrack.internal.protocol.generated.PeerEnvelope;
+import org.toucanrack.internal.protocol.generated.RecordCopy;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.transport.peer.MemberInfos;
+
+/** Answers heartbeats. Used by the control loop only. */
+final class HeartbeatReplies {
+
+  private final ControlState state;
+  private final RowWriter writer;
+
+  HeartbeatReplies(ControlState state, RowWriter writer) {
+    this.state = state;
+    this.writer = writer;
+  }
+
+  PeerEnvelope answer(Heartbeat heartbeat, long nowNanos) {
+    Member sender = MemberInfos.decode(heartbeat.getSender());
+    boolean neighbour = sender.failureDomain().equals(state.domain());
+    if (neighbour) {
+      takeIn(sender, heartbeat, nowNanos);
+    }
+    state.configuration.peerHas(
+        heartbeat.getConfigurationVersion(),
+        PeerCall.to(PeerCall.Kind.CONFIGURATION_FETCH, sender),
+        nowNanos);
+    HeartbeatAnswer.Builder answer =
+        HeartbeatAnswer.newBuilder()
+            .setSender(MemberInfos.encode(state.self()))
+            .setConfigurationVersion(state.configuration.version())
+            .setKeyProofAgeMillis(state.proof.ageMillis(nowNanos))
+            .setStoreReachable(state.store.isReached());
+    if (neighbour) {
+      addOwnRow(answer, sender, heartbeat);
+    }
+    addOtherRows(answer, heartbeat, neighbour);
+    addRecords(answer, heartbeat, nowNanos);
+    return PeerEnvelope.newBuilder().setHeartbeatAnswer(answer).build();
+  }
+
+  private void takeIn(Member sender, Heartbeat heartbeat, long nowNanos) {
+    state.judge.observeContact(sender.incarnation(), nowNanos);
+    writer.heard(sender, heartbeat.getRenewalCounter(), nowNanos);
+    if (heartbeat.getToRelay()) {
+      writer.asked(nowNanos);
+    }
+    long known = state.ownRow().map(DomainRows.KnownRow::version).orElse(0L);
+    if (heartbeat.getRowVersion() > known) {
+      writer.outdated();
+    }
+    heartbeat
+        .getReleasedList()
+        .forEach(each -> writer.released(new ResourceId(each.getResource()), each.getEpoch()));
+  }
+
+  private void addOwnRow(HeartbeatAnswer.Builder answer, Member sender, Heartbeat heartbeat) {
+    state
+        .ownRow()
+        .ifPresent(
+            known -> {
+              long generation = known.row().generation();
+              answer.setDomainRowVersion(known.version()).setRowGeneration(generation);
+              known
+                  .row()
+                  .member(sender.incarnation())
+                  .map(RowMember::renewalCounter)
+                  .ifPresent(answer::setRenewedCounter);
+              if (heartbeat.getRowGeneration() < generation) {
+                answer.setDomainRow(known.text());
+              }
+            });
+  }
+
+  private void addOtherRows(
+      HeartbeatAnswer.Builder answer, Heartbeat heartbeat, boolean neighbour) {
+    Map<String, Long> known = new HashMap<>();
+    heartbeat
+        .getKnownRowsList()
+        .forEach(each -> known.put(each.getFailureDomain(), each.getGeneration()));
+    for (DomainRows.KnownRow row : state.rows.all()) {
+      FailureDomainId domain = row.row().failureDomain();
+      boolean own = domain.equals(state.domain());
+      boolean wanted = own ? !neighbour : neighbour || known.isEmpty();
+      boolean newer = known.getOrDefault(domain.value(), 0L) < row.row().generation();
+      if (wanted && newer) {
+        answer.addOtherRows(
+            DomainRowCopy.newBuilder()
+                .setFailureDomain(domain.value())
+                .setRow(row.text())
+                .setVersion(row.version()));
+      }
+    }
+  }
+
+  private void addRecords(HeartbeatAnswer.Builder answer, Heartbeat heartbeat, long nowNanos) {
+    answer.setRecordsAgeMillis(state.records.ageMillis(nowNanos).orElse(-1L));
+    if (heartbeat.getRecordsDigest() != state.records.digest()) {
+      answer.setRecordsIncluded(true);
+      state
+          .records
+          .rows()
+          .forEach(
+              row ->
+                  answer.addRecords(
+                      RecordCopy.newBuilder()
+                          .setKey(row.key())
+                          .setValue(row.value())
+                          .setVersion(row.version())));
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/OperatorRecords.java
@@ -0,0 +1,108 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.id.VmId;
+import org.toucanrack.platform.Row;
+
+/**
+ * The rows of drains, moves and rollouts as the table had them at one time. Used by the control
+ * loop only.
+ */
+final class OperatorRecords {
+
+  static final String DRAIN_PREFIX = "drain/";
+  static final List<String> PREFIXES = List.of(DRAIN_PREFIX, "move/", "rollout/");
+
+  private final Map<String, Listing> partial = new HashMap<>();
+  private List<Row> rows = List.of();
+  private long digest;
+  private boolean known;
+  private long asOfNanos;
+
+  /** Takes in one listing; the set is replaced when all prefixes have been listed. */
+  boolean listed(String prefix, List<Row> listed, long startedAtNanos) {
+    partial.put(prefix, new Listing(listed, startedAtNanos));
+    if (!partial.keySet().containsAll(PREFIXES)) {
+      return false;
+    }
+    long oldest =
+        partial.values().stream()
+            .map(Listing::startedAtNanos)
+            .min(Comparator.comparingLong(at -> at - startedAtNanos))
+            .orElseThrow();
+    List<Row> all = new ArrayList<>();
+    PREFIXES.forEach(each -> all.addAll(partial.get(each).rows()));
+    partial.clear();
+    return replace(all, oldest);
+  }
+
+  /** Takes in the set of a peer if it is newer; returns whether the rows changed. */
+  boolean replace(List<Row> newer, long newerAsOfNanos) {
+    if (known && newerAsOfNanos - asOfNanos <= 0) {
+      return false;
+    }
+    known = true;
+    asOfNanos = newerAsOfNanos;
+    long newDigest = digestOf(newer);
+    if (newDigest == digest) {
+      return false;
+    }
+    rows = List.copyOf(newer);
+    digest = newDigest;
+    return true;
+  }
+
+  /** Notes that a peer has the same rows, as of a time. */
+  void confirmed(long sameAsOfNanos) {
+    if (known && sameAsOfNanos - asOfNanos > 0) {
+      asOfNanos = sameAsOfNanos;
+    }
+  }
+
+  private static long digestOf(List<Row> rows) {
+    long digest = 0;
+    for (Row row : rows) {
+      digest = (digest * 31 + row.key().hashCode()) * 1_000_003 + row.version();
+    }
+    return digest;
+  }
+
+  List<Row> rows() {
+    return rows;
+  }
+
+  long digest() {
+    return digest;
+  }
+
+  /** Returns the age of the set, if there is one. */
+  Optional<Long> ageMillis(long nowNanos) {
+    return known ? Optional.of((nowNanos - asOfNanos) / ControlTimings.MILLIS) : Optional.empty();
+  }
+
+  /** Returns the VMs that operators drain. */
+  Set<VmId> drainingVms() {
+    return rows.stream()
+        .filter(row -> row.key().startsWith(DRAIN_PREFIX))
+        .flatMap(row -> vmOf(row).stream())
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  private static Optional<VmId> vmOf(Row row) {
+    try {
+      return Optional.of(new VmId(row.key().substring(DRAIN_PREFIX.length())));
+    } catch (ToucanrackException e) {
+      return Optional.empty();
+    }
+  }
+
+  private record Listing(List<Row> rows, long startedAtNanos) {}
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/OwnershipView.java
@@ -0,0 +1,173 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.internal.coordination.lease.DomainRow;
+import org.toucanrack.internal.coordination.lease.Holding;
+import org.toucanrack.internal.coordination.lease.ResourceId;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.state.Ownership;
+import org.toucanrack.internal.state.RateShareId;
+import org.toucanrack.internal.state.ResourceGrant;
+import org.toucanrack.internal.state.UsableResources;
+
+/**
+ * Derives owners and grants from the domain rows. Rebuilt only after a row changed or a quarantine
+ * ended. Used by the control loop only.
+ *
+ * <p>Invariant: an owner is listed only if, by the row, it may dispatch: it was not asked to
+ * release the resource and the quarantine is over.
+ */
+final class OwnershipView {
+
+  private final ControlState state;
+  private final Map<FailureDomainId, Map<ResourceId, Grant>> grants = new HashMap<>();
+  private final Map<FailureDomainId, Long> generations = new HashMap<>();
+  private Map<Incarnation, Member> members = Map.of();
+  private Ownership ownership = Ownership.none();
+  private UsableResources usable = UsableResources.none();
+  private Member builtFor;
+  private long builtFromChanges = -1;
+  private Optional<Long> nextQuarantineEndNanos = Optional.empty();
+
+  OwnershipView(ControlState state) {
+    this.state = state;
+  }
+
+  /** Rebuilds the view if it is out of date; returns whether it was rebuilt. */
+  boolean refresh(long nowNanos) {
+    boolean quarantineEnded = nextQuarantineEndNanos.filter(end -> nowNanos - end >= 0).isPresent();
+    if (builtFromChanges == state.rows.changes()
+        && !quarantineEnded
+        && state.self().equals(builtFor)) {
+      return false;
+    }
+    builtFor = state.self();
+    builtFromChanges = state.rows.changes();
+    nextQuarantineEndNanos = Optional.empty();
+    rebuild(nowNanos);
+    return true;
+  }
+
+  private void rebuild(long nowNanos) {
+    Map<BackendServerId, Incarnation> servers = new HashMap<>();
+    Map<RateShareId, Incarnation> shares = new HashMap<>();
+    for (DomainRows.KnownRow known : state.rows.all()) {
+      noteGrants(known.row(), nowNanos);
+      addOwners(known.row(), nowNanos, servers, shares);
+    }
+    ownership = new Ownership(servers, shares);
+    usable = ownGrants();
+    Map<Incarnation, Member> all = new HashMap<>(state.rows.members());
+    all.put(state.id(), state.self());
+    members = Map.copyOf(all);
+  }
+
+  /** Notes when each ownership was first seen; a quarantine counts from then. */
+  private void noteGrants(DomainRow row, long nowNanos) {
+    FailureDomainId domain = row.failureDomain();
+    Long seen = generations.put(domain, row.generation());
+    if (seen != null && seen == row.generation()) {
+      return;
+    }
+    Map<ResourceId, Grant> before = grants.getOrDefault(domain, Map.of());
+    Map<ResourceId, Grant> now = new HashMap<>();
+    row.holdings()
+        .forEach(
+            (id, holding) -> {
+              Grant known = before.get(id);
+              boolean same = known != null && known.epoch() == holding.epoch();
+              now.put(id, same ? known : firstSeen(holding, seen == null, nowNanos));
+            });
+    grants.put(domain, now);
+  }
+
+  /** Owners that were there before this VM started judge their own quarantine. */
+  private Grant firstSeen(Holding holding, boolean firstRow, long nowNanos) {
+    boolean mine = holding.owner().filter(state.id()::equals).isPresent();
+    long waitNanos = firstRow && !mine ? 0 : holding.quarantineMillis() * ControlTimings.MILLIS;
+    return new Grant(holding.epoch(), nowNanos + waitNanos);
+  }
+
+  private void addOwners(
+      DomainRow row,
+      long nowNanos,
+      Map<BackendServerId, Incarnation> servers,
+      Map<RateShareId, Incarnation> shares) {
+    row.holdings()
+        .forEach(
+            (id, holding) -> {
+              if (holding.owner().isEmpty() || holding.releasing()) {
+                return;
+              }
+              long usableFrom = grants.get(row.failureDomain()).get(id).usableFromNanos();
+              if (nowNanos - usableFrom < 0) {
+                waitFor(usableFrom);
+                return;
+              }
+              id.backendServer().ifPresent(server -> servers.put(server, holding.owner().get()));
+              id.rateShare(row.failureDomain())
+                  .ifPresent(share -> shares.put(share, holding.owner().get()));
+            });
+  }
+
+  private void waitFor(long endNanos) {
+    if (nextQuarantineEndNanos.filter(end -> end - endNanos <= 0).isEmpty()) {
+      nextQuarantineEndNanos = Optional.of(endNanos);
+    }
+  }
+
+  private UsableResources ownGrants() {
+    Map<BackendServerId, ResourceGrant> servers = new HashMap<>();
+    Map<RateShareId, ResourceGrant> shares = new HashMap<>();
+    state
+        .ownRow()
+        .ifPresent(
+            known ->
+                known
+                    .row()
+                    .holdings()
+                    .forEach((id, holding) -> addOwnGrant(id, holding, servers, shares)));
+    return new UsableResources(servers, shares);
+  }
+
+  private void addOwnGrant(
+      ResourceId id,
+      Holding holding,
+      Map<BackendServerId, ResourceGrant> servers,
+      Map<RateShareId, ResourceGrant> shares) {
+    boolean mine = holding.owner().filter(state.id()::equals).isPresent();
+    if (!mine || holding.releasing()) {
+      return;
+    }
+    ResourceGrant grant =
+        new ResourceGrant(holding.epoch(), grants.get(state.domain()).get(id).usableFromNanos());
+    id.backendServer().ifPresent(server -> servers.put(server, grant));
+    id.rateShare(state.domain()).ifPresent(share -> shares.put(share, grant));
+  }
+
+  boolean isQuarantineOver(FailureDomainId domain, ResourceId id, Holding holding, long nowNanos) {
+    Grant grant = grants.getOrDefault(domain, Map.of()).get(id);
+    return grant != null
+        && grant.epoch() == holding.epoch()
+        && nowNanos - grant.usableFromNanos() >= 0;
+  }
+
+  Ownership ownership() {
+    return ownership;
+  }
+
+  UsableResources usable() {
+    return usable;
+  }
+
+  Map<Incarnation, Member> members() {
+    return members;
+  }
+
+  private record Grant(long epoch, long usableFromNanos) {}
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/PeerContacts.java
@@ -0,0 +1,39 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Remembers which addresses answer. Used by the control loop only. */
+final class PeerContacts {
+
+  private static final int FAILURES_TO_SUSPECT = 2;
+
+  private final Map<String, Contact> contacts = new HashMap<>();
+
+  void answered(String address) {
+    contacts.put(address, new Contact(0, 0));
+  }
+
+  void failed(String address, long nowNanos) {
+    Contact before = contacts.getOrDefault(address, new Contact(0, 0));
+    contacts.put(address, new Contact(before.failures() + 1, nowNanos));
+  }
+
+  /** Returns whether the address failed to answer repeatedly and has not answered since. */
+  boolean isSuspect(String address) {
+    return contacts.getOrDefault(address, new Contact(0, 0)).failures() >= FAILURES_TO_SUSPECT;
+  }
+
+  boolean isRetryDue(String address, long nowNanos) {
+    Contact contact = contacts.get(address);
+    return contact != null
+        && contact.failures() >= FAILURES_TO_SUSPECT
+        && nowNanos - contact.lastFailureNanos() >= ControlTimings.SUSPECT_RETRY_NANOS;
+  }
+
+  void forgetSuspicions() {
+    contacts.clear();
+  }
+
+  private record Contact(int failures, long lastFailureNanos) {}
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/Readiness.java
@@ -0,0 +1,57 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Whether a starting VM may take traffic: it has a configuration at least as new as the table's or,
+ * while the table service does not answer, as the newest of its peers. Used by the control loop
+ * only.
+ *
+ * <p>Invariant: a VM that became ready stays ready.
+ */
+final class Readiness {
+
+  private static final long NO_ANSWER = -1;
+
+  private final Map<String, Long> versionsOfPeers = new HashMap<>();
+  private long storeVersion = NO_ANSWER;
+  private boolean ready;
+
+  void storeHas(long version) {
+    storeVersion = Math.max(storeVersion, version);
+  }
+
+  void peerHas(String address, long version) {
+    versionsOfPeers.put(address, version);
+  }
+
+  void peerFailed(String address) {
+    versionsOfPeers.putIfAbsent(address, NO_ANSWER);
+  }
+
+  /** Evaluates the rule; {@code peers} are the addresses that have to have an outcome. */
+  boolean evaluate(long adoptedVersion, boolean storeFailed, Collection<String> peers) {
+    if (ready || adoptedVersion < 1) {
+      return ready;
+    }
+    ready =
+        storeVersion != NO_ANSWER
+            ? adoptedVersion >= storeVersion
+            : storeFailed && isNewestOfPeers(adoptedVersion, peers);
+    return ready;
+  }
+
+  private boolean isNewestOfPeers(long adoptedVersion, Collection<String> peers) {
+    long newest =
+        versionsOfPeers.values().stream().mapToLong(Long::longValue).max().orElse(NO_ANSWER);
+    return versionsOfPeers.keySet().containsAll(peers)
+        && newest != NO_ANSWER
+        && adoptedVersion >= newest;
+  }
+
+  boolean isReady() {
+    return ready;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ResourceUse.java
@@ -0,0 +1,20 @@
+package org.toucanrack.internal.coordination.control;
+
+import org.toucanrack.internal.coordination.lease.ResourceId;
+
+/**
+ * What traffic threads do with a resource that this VM hands over. Implementations are thread-safe
+ * and do not block.
+ */
+public interface ResourceUse {
+
+  /** A use without requests, for VMs that serve no traffic. */
+  ResourceUse NONE = (resource, epoch) -> true;
+
+  /**
+   * Stops the use of the resource and returns whether its last request has ended. Called repeatedly
+   * until it returns true. From the first call on, the resource is used again only when a snapshot
+   * grants it with a higher epoch.
+   */
+  boolean stop(ResourceId resource, long epoch);
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/RowWriter.java
@@ -0,0 +1,226 @@
+package org.toucanrack.internal.coordination.control;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.OperationId;
+import org.toucanrack.internal.coordination.lease.DomainRow;
+import org.toucanrack.internal.coordination.lease.DomainRowCodec;
+import org.toucanrack.internal.coordination.lease.DomainRowUpdater;
+import org.toucanrack.internal.coordination.lease.ResourceCatalog;
+import org.toucanrack.internal.coordination.lease.ResourceId;
+import org.toucanrack.internal.coordination.lease.RowInputs;
+import org.toucanrack.internal.coordination.lease.RowMember;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.platform.Row;
+import org.toucanrack.platform.StoreAnswer;
+import org.toucanrack.platform.Transaction;
+import org.toucanrack.platform.Transaction.Condition;
+import org.toucanrack.platform.Transaction.Write;
+
+/**
+ * Reads and writes the domain row while this VM is the relay. Used by the control loop only.
+ *
+ * <p>Invariants: a row is written on the condition of the version that it was computed from; only
+ * rows that were read or whose write was confirmed are passed on; after a lost answer the row is
+ * read before it is written again.
+ */
+final class RowWriter {
+
+  private static final Logger LOGGER = System.getLogger(RowWriter.class.getName());
+
+  private final ControlState state;
+  private final Map<Incarnation, Heard> heard = new HashMap<>();
+  private final Map<ResourceId, Long> released = new HashMap<>();
+  private Phase phase = Phase.IDLE;
+  private Optional<Base> base = Optional.empty();
+  private DomainRow pending;
+  private Transaction pendingTransaction;
+  private long sequence;
+  private long lastAttemptNanos;
+  private long nextWriteNanos;
+  private long lastAskedNanos;
+  private boolean asked;
+  private boolean writing;
+  private long writerSinceNanos;
+  private boolean urgent;
+
+  RowWriter(ControlState state, long nowNanos) {
+    this.state = state;
+    this.nextWriteNanos = nowNanos;
+    this.lastAttemptNanos = nowNanos - ControlTimings.SECOND;
+  }
+
+  /** Takes in a heartbeat of a member of the own failure domain, or of this VM. */
+  void heard(Member member, long counter, long nowNanos) {
+    Heard before = heard.get(member.incarnation());
+    long highest = before == null ? counter : Math.max(counter, before.member().renewalCounter());
+    heard.put(member.incarnation(), new Heard(new RowMember(member, highest), nowNanos));
+    boolean changed =
+        state
+            .ownRow()
+            .flatMap(known -> known.row().member(member.incarnation()))
+            .map(known -> known.member().draining() != member.draining())
+            .orElse(true);
+    urgent |= changed;
+  }
+
+  /** Takes in that a member takes this VM for its relay. */
+  void asked(long nowNanos) {
+    asked = true;
+    lastAskedNanos = nowNanos;
+  }
+
+  /** Takes in that an owner has stopped using a resource. */
+  void released(ResourceId resource, long epoch) {
+    if (isReleasing(resource, epoch)) {
+      released.put(resource, epoch);
+      urgent = true;
+    }
+  }
+
+  private boolean isReleasing(ResourceId resource, long epoch) {
+    return state
+        .ownRow()
+        .map(known -> known.row().holdings().get(resource))
+        .filter(holding -> holding.releasing() && holding.epoch() == epoch)
+        .isPresent();
+  }
+
+  /** Takes in that a peer knows a newer row. */
+  void outdated() {
+    base = Optional.empty();
+  }
+
+  /** Forgets what was heard before a pause of this process. */
+  void restart(long nowNanos) {
+    heard.clear();
+    base = Optional.empty();
+    writing = false;
+    asked = false;
+    nextWriteNanos = nowNanos;
+  }
+
+  boolean isWriter(long nowNanos) {
+    return state.isRelay() || (asked && nowNanos - lastAskedNanos <= ControlTimings.HEARD_NANOS);
+  }
+
+  void tick(long nowNanos, Actions actions) {
+    boolean writer = isWriter(nowNanos);
+    if (writer && !writing) {
+      writerSinceNanos = nowNanos;
+      base = Optional.empty();
+    }
+    writing = writer;
+    if (writer && phase == Phase.IDLE && isDue(nowNanos)) {
+      attempt(nowNanos, actions);
+    }
+  }
+
+  private boolean isDue(long nowNanos) {
+    long urgentAt = lastAttemptNanos + ControlTimings.URGENT_ROW_WRITE_NANOS;
+    return nowNanos - nextWriteNanos >= 0 || (urgent && nowNanos - urgentAt >= 0);
+  }
+
+  private void attempt(long nowNanos, Actions actions) {
+    lastAttemptNanos = nowNanos;
+    nextWriteNanos = nowNanos + ControlTimings.ROW_WRITE_NANOS;
+    long newest = state.ownRow().map(DomainRows.KnownRow::version).orElse(0L);
+    if (base.filter(known -> known.version() >= newest).isEmpty()) {
+      phase = Phase.READING;
+      actions.add(
+          new ControlAction.ReadRow(DomainRow.key(state.domain()), ControlAction.Purpose.WRITE));
+    } else {
+      commit(nowNanos, actions);
+    }
+  }
+
+  /** Takes in the row as read to be written. */
+  void read(StoreAnswer<Optional<Row>> answer, long startedAtNanos, long nowNanos, Actions out) {
+    phase = Phase.IDLE;
+    if (answer instanceof StoreAnswer.Done<Optional<Row>> done) {
+      Optional<Row> row = done.value();
+      DomainRow decoded =
+          row.map(found -> DomainRowCodec.decode(found.value()))
+              .orElseGet(() -> DomainRow.empty(state.domain()));
+      base = Optional.of(new Base(decoded, row.map(Row::version).orElse(0L)));
+      state.judge.observeRow(decoded, nowNanos);
+      if (writing) {
+        commit(nowNanos, out);
+      }
+    }
+  }
+
+  private void commit(long nowNanos, Actions actions) {
+    OperationId operation = new OperationId("row-%x-%d".formatted(state.id().number(), sequence++));
+    pending = DomainRowUpdater.update(base.orElseThrow().row(), inputs(operation, nowNanos));
+    String key = DomainRow.key(state.domain());
+    pendingTransaction =
+        new Transaction(
+            operation,
+            List.of(new Condition(key, base.orElseThrow().version())),
+            List.of(new Write(key, Optional.of(DomainRowCodec.encode(pending)))));
+    phase = Phase.COMMITTING;
+    urgent = false;
+    actions.add(new ControlAction.Commit(pendingTransaction));
+  }
+
+  private RowInputs inputs(OperationId operation, long nowNanos) {
+    heard.values().removeIf(each -> nowNanos - each.atNanos() > ControlTimings.HEARD_NANOS);
+    Map<Incarnation, RowMember> members = new HashMap<>();
+    heard.forEach((id, each) -> members.put(id, each.member()));
+    Set<Incarnation> lost = state.judge.lost(nowNanos);
+    members.keySet().removeAll(lost);
+    return new RowInputs(
+        members,
+        lost,
+        released,
+        state
+            .configuration
+            .adopted()
+            .map(known -> ResourceCatalog.of(known.configuration(), state.domain())),
+        state.records.drainingVms(),
+        nowNanos - writerSinceNanos >= ControlTimings.ASSIGN_DELAY_NANOS,
+        operation.value());
+  }
+
+  /** Takes in the answer of a commit; returns whether the written row is confirmed. */
+  boolean committed(ControlEvent.Committed event, long nowNanos) {
+    if (!event.transaction().equals(pendingTransaction)) {
+      return false;
+    }
+    phase = Phase.IDLE;
+    if (event.answer().isDone()) {
+      confirm(nowNanos);
+      return true;
+    }
+    base = Optional.empty();
+    nextWriteNanos = nowNanos;
+    LOGGER.log(Level.DEBUG, "[lease] The domain row was not written: {0}", event.answer());
+    return false;
+  }
+
+  private void confirm(long nowNanos) {
+    long version = base.orElseThrow().version() + 1;
+    base = Optional.of(new Base(pending, version));
+    state.judge.observeRow(pending, nowNanos);
+    String text = pendingTransaction.writes().get(0).value().orElseThrow();
+    state.rows.learn(pending, text, version, nowNanos);
+    released.entrySet().removeIf(entry -> !isReleasing(entry.getKey(), entry.getValue()));
+  }
+
+  private enum Phase {
+    IDLE,
+    READING,
+    COMMITTING
+  }
+
+  private record Base(DomainRow row, long version) {}
+
+  private record Heard(RowMember member, long atNanos) {}
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRow.java
@@ -0,0 +1,73 @@
+package org.toucanrack.internal.coordination.lease;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+
+/**
+ * The table's row of one failure domain: its members and the owners of its resources. Immutable and
+ * thread-safe.
+ *
+ * <p>Invariant: two written rows of a failure domain with the same generation differ in renewal
+ * counters and the operation only.
+ *
+ * @param failureDomain the failure domain
+ * @param generation rises with each change besides renewal counters
+ * @param lastEpoch the highest epoch given to a resource, also to resources that are gone
+ * @param configurationVersion the configuration whose resources are listed
+ * @param operation the operation id of the write
+ * @param members the members, ordered by VM
+ * @param holdings the resources with their owners
+ */
+public record DomainRow(
+    FailureDomainId failureDomain,
+    long generation,
+    long lastEpoch,
+    long configurationVersion,
+    String operation,
+    Map<Incarnation, RowMember> members,
+    SortedMap<ResourceId, Holding> holdings) {
+
+  /** Prefix of the keys of domain rows. */
+  public static final String KEY_PREFIX = "domain/";
+
+  /** Copies the maps. */
+  public DomainRow {
+    members = Map.copyOf(members);
+    holdings = Collections.unmodifiableSortedMap(new TreeMap<>(holdings));
+  }
+
+  /** Returns the row of a failure domain that has no members yet. */
+  public static DomainRow empty(FailureDomainId domain) {
+    return new DomainRow(domain, 0, 0, 0, "", Map.of(), new TreeMap<>());
+  }
+
+  /** Returns the table key of a failure domain's row. */
+  public static String key(FailureDomainId domain) {
+    return KEY_PREFIX + domain.value();
+  }
+
+  /** Returns the member with this incarnation. */
+  public Optional<RowMember> member(Incarnation incarnation) {
+    return Optional.ofNullable(members.get(incarnation));
+  }
+
+  /** Returns how many resources the incarnation owns. */
+  public long countOwnedBy(Incarnation incarnation) {
+    return holdings.values().stream().filter(holding -> holding.isOwnedBy(incarnation)).count();
+  }
+
+  boolean sameButForCounters(DomainRow other) {
+    return lastEpoch == other.lastEpoch
+        && configurationVersion == other.configurationVersion
+        && holdings.equals(other.holdings)
+        && members.keySet().equals(other.members.keySet())
+        && members.values().stream()
+            .allMatch(
+                one -> one.member().equals(other.members.get(one.member().incarnation()).member()));
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/state/ControlSnapshot.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/state/ControlSnapshot.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.toucanrack.configuration.Configuration;
+import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.Incarnation;
 
 /**
@@ -19,6 +20,7 @@
  * @param splits traffic splits of moves
  * @param versionShares shares of versions under rollout
  * @param ready whether this VM may take traffic
+ * @param usable resources that this VM may use while its lease permits it
  */
 public record ControlSnapshot(
     Member self,
@@ -29,7 +31,8 @@
     KeyFreshness keyFreshness,
     List<TrafficSplit> splits,
     List<VersionShare> versionShares,
-    boolean ready) {
+    boolean ready,
+    UsableResources usable) {
 
   /** Copies the collections. */
   public ControlSnapshot {
@@ -37,4 +40,34 @@
     splits = List.copyOf(splits);
     versionShares = List.copyOf(versionShares);
   }
+
+  /** Creates a snapshot of a VM that may use no resources. */
+  public ControlSnapshot(
+      Member self,
+      Optional<Configuration> configuration,
+      Map<Incarnation, Member> members,
+      Ownership ownership,
+      LeaseView lease,
+      KeyFreshness keyFreshness,
+      List<TrafficSplit> splits,
+      List<VersionShare> versionShares,
+      boolean ready) {
+    this(
+        self,
+        configuration,
+        members,
+        ownership,
+        lease,
+        keyFreshness,
+        splits,
+        versionShares,
+        ready,
+        UsableResources.none());
+  }
+
+  /** Returns whether this VM may dispatch to the backend server at this time. */
+  public boolean mayDispatchTo(BackendServerId server, long nowNanos) {
+    ResourceGrant grant = usable.backendServers().get(server);
+    return grant != null && grant.isUsable(nowNanos) && lease.permitsDispatch(nowNanos);
+  }
 }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/MemberInfos.java
@@ -0,0 +1,35 @@
+package org.toucanrack.internal.transport.peer;
+
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.VmId;
+import org.toucanrack.internal.protocol.generated.MemberInfo;
+import org.toucanrack.internal.state.Member;
+
+/** Converts members to and from their protobuf form. Stateless and thread-safe. */
+public final class MemberInfos {
+
+  private MemberInfos() {}
+
+  /** Returns the protobuf form. */
+  public static MemberInfo encode(Member member) {
+    return MemberInfo.newBuilder()
+        .setVm(member.incarnation().vm().value())
+        .setIncarnation(member.incarnation().number())
+        .setFailureDomain(member.failureDomain().value())
+        .setCallersAddress(member.callersAddress())
+        .setPeersAddress(member.peersAddress())
+        .setDraining(member.draining())
+        .build();
+  }
+
+  /** Returns the member, or throws if a name is not valid. */
+  public static Member decode(MemberInfo info) {
+    return new Member(
+        new Incarnation(new VmId(info.getVm()), info.getIncarnation()),
+        new FailureDomainId(info.getFailureDomain()),
+        info.getCallersAddress(),
+        info.getPeersAddress(),
+        info.getDraining());
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/OutboundPeer.java
@@ -0,0 +1,214 @@
+package org.toucanrack.internal.transport.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.internal.protocol.generated.PeerEnvelope;
+
+/**
+ * The connecting end towards one address. Connects on demand, again after a loss, and fails the
+ * requests of a lost connection. All fields are used by one I/O thread only.
+ *
+ * <p>Invariant: a request is written at most once, and is marked as written before any of its bytes
+ * is passed to a channel.
+ */
+final class OutboundPeer {
+
+  private final InetSocketAddress address;
+  private final PeerSettings settings;
+  private final HandshakeProof proof;
+  private final EventLoop loop;
+  private final EnvelopeEncoder encoder = new EnvelopeEncoder();
+  private final Map<Long, PendingCall> calls = new LinkedHashMap<>();
+  private Channel channel;
+  private boolean ready;
+  private boolean closed;
+  private long nextCorrelationId = 1;
+  private long backoffMillis;
+  private long retryAtNanos;
+
+  OutboundPeer(
+      InetSocketAddress address, PeerSettings settings, HandshakeProof proof, EventLoop loop) {
+    this.address = address;
+    this.settings = settings;
+    this.proof = proof;
+    this.loop = loop;
+    this.retryAtNanos = System.nanoTime();
+  }
+
+  CompletionStage<PeerEnvelope> request(PeerEnvelope request, Duration timeout) {
+    PendingCall call = new PendingCall(0, request);
+    loop.execute(() -> start(request, timeout, call));
+    return call.result;
+  }
+
+  void send(PeerEnvelope message) {
+    loop.execute(
+        () -> {
+          if (ready && hasRoom(message)) {
+            channel.writeAndFlush(message);
+          } else {
+            connectIfDue();
+          }
+        });
+  }
+
+  void close() {
+    loop.execute(
+        () -> {
+          closed = true;
+          if (channel != null) {
+            channel.close();
+          }
+          failAll("the transport was closed", null);
+        });
+  }
+
+  private void start(PeerEnvelope request, Duration timeout, PendingCall handle) {
+    PendingCall call = new PendingCall(nextCorrelationId++, request);
+    call.result.whenComplete(
+        (answer, failure) -> {
+          if (failure == null) {
+            handle.result.complete(answer);
+          } else {
+            handle.result.completeExceptionally(failure);
+          }
+        });
+    call.timer =
+        loop.schedule(() -> expire(call, timeout), timeout.toNanos(), TimeUnit.NANOSECONDS);
+    String refusal = refusal(request);
+    if (refusal != null) {
+      call.fail("request to " + address + " refused: " + refusal, null);
+      return;
+    }
+    calls.put(call.correlationId, call);
+    if (ready) {
+      write(call);
+    } else if (!connectIfDue()) {
+      calls.remove(call.correlationId);
+      call.fail("peer " + address + " is not reachable; the next attempt is due later", null);
+    }
+  }
+
+  private String refusal(PeerEnvelope request) {
+    if (closed) {
+      return "the transport is closed";
+    }
+    if (calls.size() >= settings.limits().maxOutstanding()) {
+      return "too many requests without answer";
+    }
+    return hasRoom(request) ? null : "message too long or too many bytes queued";
+  }
+
+  private boolean hasRoom(PeerEnvelope message) {
+    boolean fits = message.getSerializedSize() <= settings.limits().maxMessageBytes() - 32;
+    return fits && (!ready || channel.isWritable());
+  }
+
+  private void expire(PendingCall call, Duration timeout) {
+    calls.remove(call.correlationId);
+    call.fail("peer " + address + " did not answer within " + timeout.toMillis() + " ms", null);
+  }
+
+  private void write(PendingCall call) {
+    call.written = true;
+    channel.writeAndFlush(
+        call.request.toBuilder().setCorrelationId(call.correlationId).setAnswer(false).build());
+  }
+
+  /** Returns whether a connection is being made; false while the backoff lasts. */
+  private boolean connectIfDue() {
+    if (channel != null) {
+      return true;
+    }
+    if (closed || System.nanoTime() - retryAtNanos < 0) {
+      return false;
+    }
+    ChannelFuture connecting = bootstrap().connect(address);
+    channel = connecting.channel();
+    connecting.addListener(
+        (ChannelFuture done) -> {
+          if (!done.isSuccess()) {
+            lost(done.channel(), done.cause());
+          }
+        });
+    return true;
+  }
+
+  private Bootstrap bootstrap() {
+    return PeerBootstrap.client(loop, settings.limits())
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel opened) {
+                EnvelopeDecoder decoder = new EnvelopeDecoder();
+                opened.pipeline().addLast(decoder, encoder);
+                opened
+                    .pipeline()
+                    .addLast(
+                        new ConnectorHandshake(settings, proof, decoder, () -> authenticated()));
+                opened.pipeline().addLast(new AnswerHandler());
+              }
+            });
+  }
+
+  private void authenticated() {
+    ready = true;
+    backoffMillis = 0;
+    List.copyOf(calls.values()).forEach(this::write);
+  }
+
+  private void lost(Channel which, Throwable cause) {
+    if (which != channel) {
+      return;
+    }
+    channel = null;
+    ready = false;
+    Duration min = settings.limits().minBackoff();
+    Duration max = settings.limits().maxBackoff();
+    backoffMillis = Math.min(max.toMillis(), Math.max(min.toMillis(), backoffMillis * 2));
+    retryAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(backoffMillis);
+    failAll("the connection to " + address + " was lost", cause);
+  }
+
+  private void failAll(String message, Throwable cause) {
+    List<PendingCall> failed = new ArrayList<>(calls.values());
+    calls.clear();
+    failed.forEach(call -> call.fail(message, cause));
+  }
+
+  /** Matches answers with requests. Answers to unknown ids are dropped. */
+  private final class AnswerHandler extends SimpleChannelInboundHandler<PeerEnvelope> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, PeerEnvelope answer) {
+      PendingCall call = answer.getAnswer() ? calls.remove(answer.getCorrelationId()) : null;
+      if (call != null) {
+        call.complete(answer);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      lost(context.channel(), null);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      PeerLog.closed(context, cause);
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PendingCall.java
@@ -0,0 +1,30 @@
+package org.toucanrack.internal.transport.peer;
+
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.CompletableFuture;
+import org.toucanrack.internal.protocol.generated.PeerEnvelope;
+
+/** A request that waits for its answer. Used by the I/O thread of its connection. */
+final class PendingCall {
+
+  final long correlationId;
+  final PeerEnvelope request;
+  final CompletableFuture<PeerEnvelope> result = new CompletableFuture<>();
+  Future<?> timer;
+  boolean written;
+
+  PendingCall(long correlationId, PeerEnvelope request) {
+    this.correlationId = correlationId;
+    this.request = request;
+  }
+
+  void complete(PeerEnvelope answer) {
+    timer.cancel(false);
+    result.complete(answer);
+  }
+
+  void fail(String message, Throwable cause) {
+    timer.cancel(false);
+    result.completeExceptionally(new PeerCallException(message, written, cause));
+  }
+}
