Close backend connections that ended early or hold unread bytes

Ruled out: the read and write timeout of ActiveJ's client, which is one value for all requests and checked about once a second.

Change: the socket of each request is found through the inspectors (6.0-rc2 exchanges those for plain and TLS sockets, so both are set). A connection with bytes left after its response is kept out of the pool. Responses without certain end are 502 may-have-run. Headers pass by HeaderRules. Adds the pure framing check with property and fuzz tests; the callers' port does not use it yet.

Conclusion: ActiveJ's client neither closes a timed-out connection when the promise is dropped nor checks for unread bytes, and needs both guards.

--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/FramingCheck.java
@@ -0,0 +1,121 @@
+package org.toucanrack.internal.protocol;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Checks the raw bytes of one connection before the HTTP parser sees them, over all of its
+ * requests. ActiveJ accepts ambiguous requests, which an attacker can use to smuggle one request
+ * within another.
+ *
+ * <p>Invariant: after a violation nothing more passes. Not thread-safe.
+ */
+public final class FramingCheck {
+
+  /** Largest size of request line and headers together. */
+  public static final int MAX_HEAD_BYTES = 16 * 1024;
+
+  private static final int INITIAL_HEAD_BYTES = 512;
+
+  /** What the connection is sending. */
+  public enum Phase {
+    BETWEEN_REQUESTS,
+    HEAD,
+    BODY
+  }
+
+  private byte[] head = new byte[INITIAL_HEAD_BYTES];
+  private int headSize;
+  private long bodyLeft;
+  private ChunkedBodyCheck chunks;
+  private long heads;
+  private FramingViolation violation;
+
+  /**
+   * Checks the next bytes.
+   *
+   * @return the index up to which bytes may pass: {@code to}, or the start of a rejected request
+   */
+  public int feed(byte[] bytes, int from, int to) {
+    int position = from;
+    int safe = from;
+    try {
+      while (position < to && violation == null) {
+        position = phase() == Phase.BODY ? body(bytes, position, to) : head(bytes, position, to);
+        safe = phase() == Phase.BETWEEN_REQUESTS || phase() == Phase.BODY ? position : safe;
+      }
+    } catch (MalformedRequest e) {
+      violation = e.violation();
+    }
+    return violation == null ? to : safe;
+  }
+
+  /** Returns why the connection was rejected, if it was. */
+  public Optional<FramingViolation> violation() {
+    return Optional.ofNullable(violation);
+  }
+
+  /** Returns what the connection is sending. */
+  public Phase phase() {
+    if (bodyLeft > 0 || chunks != null) {
+      return Phase.BODY;
+    }
+    return headSize > 0 ? Phase.HEAD : Phase.BETWEEN_REQUESTS;
+  }
+
+  /** Returns the number of request heads that passed. */
+  public long heads() {
+    return heads;
+  }
+
+  private int body(byte[] bytes, int from, int to) throws MalformedRequest {
+    if (chunks == null) {
+      int taken = (int) Math.min(bodyLeft, to - from);
+      bodyLeft -= taken;
+      return from + taken;
+    }
+    int position = chunks.feed(bytes, from, to);
+    chunks = chunks.complete() ? null : chunks;
+    return position;
+  }
+
+  private int head(byte[] bytes, int from, int to) throws MalformedRequest {
+    for (int i = from; i < to; i++) {
+      append(bytes[i]);
+      if (endsWithEmptyLine()) {
+        finishHead();
+        return i + 1;
+      }
+    }
+    return to;
+  }
+
+  private void append(byte value) throws MalformedRequest {
+    if (headSize == MAX_HEAD_BYTES) {
+      throw new MalformedRequest(FramingViolation.HEADERS_TOO_LARGE);
+    }
+    boolean afterReturn = headSize > 0 && head[headSize - 1] == '\r';
+    if (afterReturn != (value == '\n')) {
+      throw new MalformedRequest(FramingViolation.BARE_LINE_END);
+    }
+    if (headSize == head.length) {
+      head = Arrays.copyOf(head, Math.min(MAX_HEAD_BYTES, head.length * 2));
+    }
+    head[headSize++] = value;
+  }
+
+  private boolean endsWithEmptyLine() {
+    return headSize >= 4
+        && head[headSize - 1] == '\n'
+        && head[headSize - 3] == '\n'
+        && head[headSize - 4] == '\r';
+  }
+
+  private void finishHead() throws MalformedRequest {
+    BodyFraming framing = new HeadCheck().check(head, headSize);
+    headSize = 0;
+    heads++;
+    chunks = framing.chunked() ? new ChunkedBodyCheck() : null;
+    bodyLeft = framing.length();
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
@@ -3,15 +3,14 @@
 import com.google.protobuf.ByteString;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
-import io.activej.http.HttpHeader;
-import io.activej.http.HttpHeaderValue;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
+import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.time.Duration;
-import java.util.Map;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -20,7 +19,6 @@
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 import org.toucanrack.internal.protocol.generated.ForwardRequest;
 import org.toucanrack.internal.protocol.generated.HeaderField;
-import org.toucanrack.internal.protocol.generated.VerdictCode;
 
 /**
  * Sends requests to backend servers from one event loop.
@@ -43,6 +41,7 @@
   BackendClient(Eventloop loop, LongSupplier clock) {
     this.loop = loop;
     this.clock = clock;
+    TcpSocket.Inspector sockets = connections.socketInspector();
     this.client =
         HttpClient.builder(loop, new LiteralAddresses())
             .withConnectTimeout(CONNECT_TIMEOUT)
@@ -50,7 +49,9 @@
             .withReadWriteTimeout(LONGEST_CALL)
             .withMaxBodySize(MAX_RESPONSE_BYTES)
             .withInspector(connections.clientInspector())
-            .withSocketInspector(connections.socketInspector())
+            .withSocketInspector(sockets)
+            // ActiveJ 6.0-rc2 uses the inspector for TLS sockets on plain sockets.
+            .withSocketSslInspector(sockets)
             .build();
   }
 
@@ -113,20 +114,12 @@
   }
 
   private static ForwardAnswer read(HttpResponse response, BackendServer server) {
-    ForwardAnswer.Builder answer =
-        ForwardAnswer.newBuilder()
-            .setVerdict(VerdictCode.VERDICT_RAN)
-            .setStatus(response.getCode())
-            .setBody(ByteString.copyFrom(response.getBody().getArray()))
-            .setBackendServer(server.id().value())
-            .setVersion(server.version().value());
-    for (Map.Entry<HttpHeader, HttpHeaderValue> header : response.getHeaders()) {
-      answer.addHeaders(
-          HeaderField.newBuilder()
-              .setName(header.getKey().toString())
-              .setValue(header.getValue().toString()));
-    }
-    return answer.build();
+    List<HeaderField> headers = MessageHeaders.of(response);
+    return BackendResponse.toAnswer(
+            response.getCode(), headers, ByteString.copyFrom(response.getBody().getArray()))
+        .setBackendServer(server.id().value())
+        .setVersion(server.version().value())
+        .build();
   }
 
   private static ForwardAnswer failed(BackendCall call, BackendServer server) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendConnections.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendConnections.java
@@ -4,6 +4,7 @@
 import io.activej.http.HttpClient;
 import io.activej.http.HttpClientConnection;
 import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -47,6 +48,12 @@
 
   private final class ClientInspector extends HttpClient.JmxInspector {
 
+    @Override
+    public void onRequestComplete(HttpResponse response, HttpClientConnection connection) {
+      super.onRequestComplete(response, connection);
+      ClientConnectionAccess.closeIfBytesRemain(connection);
+    }
+
     @Override
     public void onConnect(HttpRequest request, HttpClientConnection connection) {
       super.onConnect(request, connection);
