Finish slot dispatch: probe packing, cold start, property and failure tests

Cause: the thin dispatcher ramped after every takeover and could not concentrate a candidate's load. Ruled out: deficit round robin (needs a quantum), dropping the new arrival on overflow (one customer fills the queue), a grant counter (a repeated release would free a slot that is in use).

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/OwnedServer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/OwnedServer.java
@@ -10,7 +10,7 @@
  * @param usableFromNanos monotonic time at which the quarantine after a takeover ends
  * @param draining whether the server or this VM's ownership of it is ending
  * @param concurrency requests to run at the same time now, at most the declared slots
- * @param candidate whether its version is being rolled out and serves only requests that name it
+ * @param role the part that its version plays in the service
  * @param coldStartNanos monotonic time at which the server was seen to start; empty if it is warm
  * @param reportedLoad load from 0 to 1 as reported by the server itself; only breaks ties
  */
@@ -19,7 +19,7 @@
     long usableFromNanos,
     boolean draining,
     int concurrency,
-    boolean candidate,
+    VersionRole role,
     OptionalLong coldStartNanos,
     double reportedLoad) {
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/ServerPool.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/ServerPool.java
@@ -75,10 +75,16 @@
   private static Comparator<ServerSlots> preference(SlotRequest request) {
     return Comparator.comparing((ServerSlots slots) -> isExcluded(slots, request))
         .thenComparing(slots -> (int) (slots.health().errorRate() / ERROR_RATE_STEP))
-        .thenComparing(ServerSlots::utilization)
+        .thenComparing(ServerPool::utilizationRank)
         .thenComparing(slots -> slots.owned().reportedLoad());
   }
 
+  /** Prefers idle servers, or busy ones for a version whose load is packed. */
+  private static double utilizationRank(ServerSlots slots) {
+    boolean packed = slots.owned().role() == VersionRole.CANDIDATE_UNDER_PROBE;
+    return packed ? -slots.utilization() : slots.utilization();
+  }
+
   private static boolean isExcluded(ServerSlots slots, SlotRequest request) {
     return request.excluded().map(slots.owned().server().id()::equals).orElse(false);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/ServerSlots.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/dispatch/ServerSlots.java
@@ -48,7 +48,7 @@
     return request
         .version()
         .map(version -> version.equals(owned.server().version()))
-        .orElse(!owned.candidate());
+        .orElse(!owned.role().isCandidate());
   }
 
   int free(long nowNanos) {
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/dispatch/DispatchFixture.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/dispatch/DispatchFixture.java
@@ -24,10 +24,10 @@
   private DispatchFixture() {}
 
   static OwnedServer server(String id, int slots) {
-    return server(id, slots, OLD, false);
+    return server(id, slots, OLD, VersionRole.CURRENT);
   }
 
-  static OwnedServer server(String id, int slots, VersionId version, boolean candidate) {
+  static OwnedServer server(String id, int slots, VersionId version, VersionRole role) {
     return new OwnedServer(
         new BackendServer(
             new BackendServerId(id),
@@ -41,14 +41,14 @@
         0,
         false,
         slots,
-        candidate,
+        role,
         OptionalLong.empty(),
         0);
   }
 
   static OwnedServer draining(OwnedServer from) {
     return new OwnedServer(
-        from.server(), 0, true, from.concurrency(), from.candidate(), OptionalLong.empty(), 0);
+        from.server(), 0, true, from.concurrency(), from.role(), OptionalLong.empty(), 0);
   }
 
   static SlotRequest request(String id, String customer, double weight, long deadlineNanos) {
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/dispatch/FairSlotDispatcherTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/dispatch/FairSlotDispatcherTest.java
@@ -11,6 +11,7 @@
 import static org.toucanrack.internal.coordination.dispatch.DispatchFixture.server;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.id.BackendServerId;
@@ -58,7 +59,8 @@
       dispatcher.release(recorder.last(), SlotOutcome.SUCCEEDED, turn);
     }
 
-    assertTrue(recorder.grantsOf("small") >= 38, "small got " + recorder.grantsOf("small"));
+    long small = recorder.grantsOf("small");
+    assertTrue(small >= 38 && small <= 42, "weight 2 of 3 got " + small + " of 60");
   }
 
   @Test
@@ -125,11 +127,11 @@
     }
 
     long bad = recorder.grants.stream().filter(g -> g.server().id().value().equals("bad")).count();
-    assertTrue(bad <= 5, "the failing server got " + bad + " of 40");
+    assertTrue(bad <= 2, "the failing server got " + bad + " of 40");
   }
 
   @Test
-  void lowersConcurrencyAfterSheddingAnswerForATime() {
+  void lowersConcurrencyAfterSheddingAnswer() {
     dispatcher.update(List.of(server("one", 4)), 0);
     dispatcher.submit(request("a1", "acacia"), recorder, 0);
 
@@ -141,7 +143,11 @@
 
   @Test
   void runsRequestForCandidateVersionOnlyThereAndOthersNeverThere() {
-    dispatcher.update(List.of(server("old", 1, OLD, false), server("new", 1, NEW, true)), 0);
+    dispatcher.update(
+        List.of(
+            server("old", 1, OLD, VersionRole.CURRENT),
+            server("new", 1, NEW, VersionRole.CANDIDATE)),
+        0);
 
     dispatcher.submit(request("a1", "acacia"), recorder, 0);
     dispatcher.submit(request("a2", "acacia"), recorder, 0);
@@ -149,6 +155,40 @@
 
     assertEquals("old", recorder.grants.get(0).server().id().value());
     assertEquals("new", recorder.grants.get(1).server().id().value());
+    assertEquals("c1", recorder.grants.get(1).requestId());
     assertEquals(2, recorder.grants.size());
   }
+
+  @Test
+  void packsRequestsOfProbedVersionOnOneServer() {
+    VersionRole probe = VersionRole.CANDIDATE_UNDER_PROBE;
+    dispatcher.update(List.of(server("n1", 3, NEW, probe), server("n2", 3, NEW, probe)), 0);
+
+    for (int copy = 0; copy < 3; copy++) {
+      dispatcher.submit(request("c" + copy, NEW), recorder, 0);
+    }
+
+    assertEquals(1, recorder.grants.stream().map(g -> g.server().id()).distinct().count());
+  }
+
+  @Test
+  void refusesWhenTheLeaseIsNotValid() {
+    FairSlotDispatcher fenced = new FairSlotDispatcher(8, now -> now < 10);
+    fenced.update(List.of(server("one", 1)), 0);
+
+    fenced.submit(request("a1", "acacia"), recorder, 10);
+
+    assertEquals(List.of(ErrorCode.LEASE_LOST), recorder.refusals);
+  }
+
+  @Test
+  void startsColdServersWithOneRequestAtOnce() {
+    OwnedServer warm = server("one", 4);
+    dispatcher.update(
+        List.of(new OwnedServer(warm.server(), 0, false, 4, warm.role(), OptionalLong.of(0), 0)),
+        0);
+
+    assertEquals(1, dispatcher.freeSlots(1));
+    assertEquals(4, dispatcher.freeSlots(ServerHealth.SLOW_START_NANOS));
+  }
 }
