Serve a request end to end: control loop, traffic, operators' port in one process

Cause: the parts were merged but no process ran them. Ruled out: one event loop for all. Health polls and expiry of queues get a thread of their own, so that a slow poll delays neither control state nor traffic.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
@@ -1,12 +1,184 @@
 package org.toucanrack.internal.serve;
 
-/** Runs an entry VM. */
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.LongPredicate;
+import org.toucanrack.configuration.Configuration;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.internal.configuration.ConfigurationCodec;
+import org.toucanrack.internal.coordination.control.ControlPlane;
+import org.toucanrack.internal.coordination.control.SnapshotParts;
+import org.toucanrack.internal.coordination.limit.EscrowRateLimiter;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.transport.http.TrafficCollaborators;
+import org.toucanrack.internal.transport.http.TrafficServer;
+import org.toucanrack.internal.transport.http.TrafficSettings;
+import org.toucanrack.internal.transport.peer.NettyPeerTransport;
+import org.toucanrack.internal.transport.peer.PeerSettings;
+import org.toucanrack.internal.transport.platform.HttpPlatform;
+
+/**
+ * One entry VM: control loop, traffic threads, operators' port and housekeeping.
+ *
+ * <pre>{@code
+ * EntryVm.run(settings); // returns after a planned stop
+ * }</pre>
+ *
+ * <p>Invariant: the parts are started once, in the order control, peers, traffic, operators, and
+ * stopped in the opposite order. Thread-safe after construction.
+ */
 public final class EntryVm {
 
-  private EntryVm() {}
+  private static final Logger LOGGER = System.getLogger(EntryVm.class.getName());
+
+  private final ServeSettings settings;
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final RequestMetrics metrics = new RequestMetrics(registry);
+  private final HttpPlatform platform;
+  private final NettyPeerTransport peers;
+  private final ControlPlane control;
+  private final ServiceDispatchers dispatchers;
+  private final EscrowRateLimiter rateLimiter;
+  private final Steering steering = new Steering();
+  private final TrafficServer traffic;
+  private final Housekeeping housekeeping;
 
-  /** Runs until the process is told to stop. */
+  /** Wires all parts; nothing runs before {@link #start}. */
+  EntryVm(ServeSettings settings) {
+    this.settings = settings;
+    Member self = describe(settings);
+    platform = new HttpPlatform(settings.platform());
+    peers = new NettyPeerTransport(new PeerSettings(self, settings.peerSecret(), limits()));
+    LongPredicate permits = now -> currentSnapshot().lease().permitsDispatch(now);
+    dispatchers = new ServiceDispatchers(permits);
+    PeerTokens tokens = new PeerTokens(peers, this::currentSnapshot);
+    rateLimiter = new EscrowRateLimiter(tokens, System::nanoTime, permits);
+    tokens.serve(rateLimiter, System::nanoTime);
+    control = new ControlPlane(controlSettings(self), platform, peers);
+    traffic = new TrafficServer(trafficSettings(), collaborators());
+    housekeeping = new Housekeeping(settings, registry, statusReader(), this);
+    control.onSnapshot(this::adopt);
+  }
+
+  /** Runs a VM until the process is told to stop, then stops it on plan. */
   public static void run(ServeSettings settings) {
-    System.err.println("not wired");
+    EntryVm vm = new EntryVm(settings);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  vm.stop();
+                  stopped.countDown();
+                },
+                "planned-stop"));
+    vm.start();
+    awaitQuietly(stopped);
+  }
+
+  void start() {
+    control.start();
+    peers.listen();
+    traffic.start();
+    housekeeping.start();
+    LOGGER.log(
+        Level.INFO, "[serve] {0} listens for callers on {1}.", settings.vm(), traffic.address());
+  }
+
+  /** Stops on plan: hands over, goes on for the look-up time to live, then ends. */
+  void stop() {
+    LOGGER.log(Level.INFO, "[serve] {0} stops on plan.", settings.vm());
+    new PlannedStop(control, traffic).run();
+    housekeeping.close();
+    peers.close();
+    control.close();
+    platform.close();
+    LOGGER.log(Level.INFO, "[serve] {0} has stopped.", settings.vm());
+  }
+
+  ControlSnapshot currentSnapshot() {
+    return control.snapshot();
+  }
+
+  ServiceDispatchers dispatchers() {
+    return dispatchers;
+  }
+
+  /** Refuses what has waited too long. Called every few milliseconds. */
+  void expire(long nowNanos) {
+    dispatchers.expire(nowNanos);
+    rateLimiter.expire(nowNanos);
+  }
+
+  private void adopt(ControlSnapshot snapshot) {
+    long now = System.nanoTime();
+    dispatchers.update(snapshot, now);
+    rateLimiter.update(snapshot, now);
+    snapshot.configuration().ifPresent(configuration -> steering.update(configuration, snapshot));
+  }
+
+  private StatusReader statusReader() {
+    return new StatusReader(this::currentSnapshot, dispatchers, metrics, System::nanoTime);
+  }
+
+  private ControlPlane.Settings controlSettings(Member self) {
+    return new ControlPlane.Settings(
+        self,
+        settings.peers().stream().map(EntryVm::text).toList(),
+        EntryVm::decode,
+        (resource, epoch) -> dispatchers.stop(resource, epoch, System.nanoTime()),
+        SnapshotParts.NONE,
+        System::nanoTime);
+  }
+
+  private static Configuration decode(long version, byte[] body) {
+    return ConfigurationCodec.decode(body);
+  }
+
+  private TrafficSettings trafficSettings() {
+    return TrafficSettings.of(settings.callersListen(), settings.trafficThreads());
+  }
+
+  private TrafficCollaborators collaborators() {
+    return new TrafficCollaborators(
+        this::currentSnapshot,
+        dispatchers::find,
+        rateLimiter,
+        steering.versions(),
+        steering.shifts(),
+        peers,
+        metrics,
+        System::nanoTime);
+  }
+
+  private static PeerSettings.Limits limits() {
+    return PeerSettings.Limits.standard();
+  }
+
+  private static Member describe(ServeSettings settings) {
+    long number = 1 + new SecureRandom().nextLong(Long.MAX_VALUE - 1);
+    return new Member(
+        new Incarnation(settings.vm(), number),
+        settings.failureDomain(),
+        text(settings.callersListen()),
+        text(settings.peersListen()),
+        false);
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/OwnedServerList.java
@@ -0,0 +1,81 @@
+package org.toucanrack.internal.serve;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BiPredicate;
+import java.util.stream.Collectors;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.ServiceVersion;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.internal.coordination.dispatch.OwnedServer;
+import org.toucanrack.internal.coordination.dispatch.VersionRole;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.ResourceGrant;
+import org.toucanrack.internal.transport.health.BackendHealth;
+
+/** Describes the backend servers that this VM may use. Used by one thread. */
+final class OwnedServerList {
+
+  private final ControlSnapshot snapshot;
+  private final Map<BackendServerId, BackendHealth> health;
+  private final BiPredicate<BackendServerId, ResourceGrant> isUsable;
+
+  OwnedServerList(
+      ControlSnapshot snapshot,
+      Map<BackendServerId, BackendHealth> health,
+      BiPredicate<BackendServerId, ResourceGrant> isUsable) {
+    this.snapshot = snapshot;
+    this.health = health;
+    this.isUsable = isUsable;
+  }
+
+  /** Returns the backend servers with a grant in the snapshot. */
+  static List<BackendServer> granted(ControlSnapshot snapshot) {
+    Map<BackendServerId, ResourceGrant> grants = snapshot.usable().backendServers();
+    return snapshot.configuration().stream()
+        .flatMap(configuration -> configuration.deployment().backendServers().stream())
+        .filter(server -> grants.containsKey(server.id()))
+        .toList();
+  }
+
+  List<OwnedServer> servers() {
+    Deployment deployment = snapshot.configuration().orElseThrow().deployment();
+    Set<ServiceVersion> candidates =
+        deployment.versions().stream()
+            .filter(ServiceVersion::isCandidate)
+            .collect(Collectors.toUnmodifiableSet());
+    return granted(snapshot).stream()
+        .filter(server -> isUsable.test(server.id(), grant(server)))
+        .map(server -> describe(server, role(server, candidates)))
+        .toList();
+  }
+
+  private ResourceGrant grant(BackendServer server) {
+    return snapshot.usable().backendServers().get(server.id());
+  }
+
+  private OwnedServer describe(BackendServer server, VersionRole role) {
+    BackendHealth state = health.getOrDefault(server.id(), BackendHealth.UNKNOWN);
+    return new OwnedServer(
+        server,
+        grant(server).usableFromNanos(),
+        state.draining(),
+        server.slots(),
+        role,
+        OptionalLong.empty(),
+        state.load());
+  }
+
+  private static VersionRole role(BackendServer server, Set<ServiceVersion> candidates) {
+    boolean candidate =
+        candidates.stream()
+            .anyMatch(
+                version ->
+                    version.service().equals(server.service())
+                        && version.id().equals(server.version()));
+    return candidate ? VersionRole.CANDIDATE : VersionRole.CURRENT;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/PlannedStop.java
@@ -0,0 +1,66 @@
+package org.toucanrack.internal.serve;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.toucanrack.configuration.Rules;
+import org.toucanrack.internal.coordination.control.ControlPlane;
+import org.toucanrack.internal.transport.http.TrafficServer;
+
+/** Ends a VM without cutting requests: hands over, waits for cached look-ups, closes. */
+final class PlannedStop {
+
+  private static final Logger LOGGER = System.getLogger(PlannedStop.class.getName());
+  private static final Duration DEFAULT_TIME_TO_LIVE = Duration.ofSeconds(10);
+
+  private final ControlPlane control;
+  private final TrafficServer traffic;
+
+  PlannedStop(ControlPlane control, TrafficServer traffic) {
+    this.control = control;
+    this.traffic = traffic;
+  }
+
+  /** Blocks until the callers' port is closed. */
+  void run() {
+    Duration timeToLive = timeToLive();
+    long startNanos = System.nanoTime();
+    await(control.drain().toCompletableFuture(), timeToLive);
+    long rest = timeToLive.toNanos() - (System.nanoTime() - startNanos);
+    sleep(Math.max(0, rest));
+    traffic.close();
+  }
+
+  private Duration timeToLive() {
+    return control
+        .snapshot()
+        .configuration()
+        .map(configuration -> configuration.deployment().rules())
+        .map(Rules::lookUpTimeToLive)
+        .orElse(DEFAULT_TIME_TO_LIVE);
+  }
+
+  private static void await(CompletableFuture<Void> drained, Duration limit) {
+    try {
+      drained.get(limit.toNanos(), TimeUnit.NANOSECONDS);
+    } catch (TimeoutException e) {
+      LOGGER.log(Level.WARNING, "[serve] The handover did not end in time. The leases will lapse.");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      LOGGER.log(Level.WARNING, "[serve] The handover failed.", e.getCause());
+    }
+  }
+
+  private static void sleep(long nanos) {
+    try {
+      TimeUnit.NANOSECONDS.sleep(nanos);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
@@ -1,28 +1,36 @@
 package org.toucanrack.internal.serve;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
-import org.toucanrack.configuration.BackendServer;
-import org.toucanrack.configuration.Configuration;
 import org.toucanrack.configuration.Service;
-import org.toucanrack.configuration.ServiceVersion;
 import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.internal.coordination.dispatch.FairSlotDispatcher;
 import org.toucanrack.internal.coordination.dispatch.OwnedServer;
+import org.toucanrack.internal.coordination.lease.ResourceId;
 import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.ResourceGrant;
 import org.toucanrack.internal.transport.health.BackendHealth;
 
-/** Holds the dispatcher of each service and keeps it in step with the ownership. Thread-safe. */
+/**
+ * Holds the dispatcher of each service and keeps it in step with the ownership.
+ *
+ * <p>Invariant: a dispatcher has a backend server only while the newest snapshot grants it with an
+ * epoch above the last one that was stopped. Thread-safe.
+ */
 final class ServiceDispatchers {
 
   private final Map<ServiceId, FairSlotDispatcher> dispatchers = new ConcurrentHashMap<>();
+  private final Map<BackendServerId, Long> stoppedEpochs = new HashMap<>();
   private final LongPredicate permitsDispatch;
+  private Optional<ControlSnapshot> newest = Optional.empty();
+  private Map<BackendServerId, BackendHealth> newestHealth = Map.of();
 
   ServiceDispatchers(LongPredicate permitsDispatch) {
     this.permitsDispatch = permitsDispatch;
@@ -34,20 +42,29 @@
   }
 
   /** Adopts the ownership of a snapshot. */
-  void update(ControlSnapshot snapshot, Map<BackendServerId, BackendHealth> health, long nowNanos) {
-    if (snapshot.configuration().isEmpty()) {
-      return;
-    }
-    Configuration configuration = snapshot.configuration().get();
-    Map<ServiceId, List<OwnedServer>> owned =
-        OwnedServers.of(snapshot).stream()
-            .map(server -> describe(snapshot, configuration, server, health))
-            .collect(Collectors.groupingBy(server -> server.server().service()));
-    for (Service service : configuration.deployment().services()) {
-      dispatchers
-          .computeIfAbsent(service.id(), id -> create(service))
-          .update(owned.getOrDefault(service.id(), List.of()), nowNanos);
+  synchronized void update(ControlSnapshot snapshot, long nowNanos) {
+    newest = Optional.of(snapshot);
+    apply(nowNanos);
+  }
+
+  /** Adopts what backend servers say of themselves. */
+  synchronized void update(Map<BackendServerId, BackendHealth> health, long nowNanos) {
+    newestHealth = health;
+    apply(nowNanos);
+  }
+
+  /**
+   * Stops the use of a backend server and returns whether its last request has ended. It is used
+   * again when a snapshot grants it with a higher epoch.
+   */
+  synchronized boolean stop(ResourceId resource, long epoch, long nowNanos) {
+    if (resource.backendServer().isEmpty()) {
+      return true;
     }
+    BackendServerId server = resource.backendServer().get();
+    stoppedEpochs.merge(server, epoch, Math::max);
+    apply(nowNanos);
+    return dispatchers.values().stream().allMatch(dispatcher -> isIdle(dispatcher, server));
   }
 
   /** Refuses queued requests whose deadline has passed. */
@@ -55,32 +72,34 @@
     dispatchers.values().forEach(dispatcher -> dispatcher.expire(nowNanos));
   }
 
-  private FairSlotDispatcher create(Service service) {
-    return new FairSlotDispatcher(service.maxQueueLength(), permitsDispatch);
+  private static boolean isIdle(FairSlotDispatcher dispatcher, BackendServerId server) {
+    AtomicBoolean idle = new AtomicBoolean();
+    dispatcher.whenIdle(server, () -> idle.set(true));
+    return idle.get();
   }
 
-  private static OwnedServer describe(
-      ControlSnapshot snapshot,
-      Configuration configuration,
-      BackendServer server,
-      Map<BackendServerId, BackendHealth> health) {
-    BackendHealth state = health.getOrDefault(server.id(), BackendHealth.UNKNOWN);
-    return new OwnedServer(
-        server,
-        0,
-        state.draining(),
-        server.slots(),
-        isCandidate(configuration, server),
-        OptionalLong.empty(),
-        state.load());
+  private void apply(long nowNanos) {
+    newest
+        .filter(snapshot -> snapshot.configuration().isPresent())
+        .ifPresent(snapshot -> apply(snapshot, nowNanos));
   }
 
-  private static boolean isCandidate(Configuration configuration, BackendServer server) {
-    Optional<ServiceVersion> version =
-        configuration.deployment().versions().stream()
-            .filter(declared -> declared.service().equals(server.service()))
-            .filter(declared -> declared.id().equals(server.version()))
-            .findFirst();
-    return version.map(ServiceVersion::isCandidate).orElse(false);
+  private void apply(ControlSnapshot snapshot, long nowNanos) {
+    OwnedServerList list = new OwnedServerList(snapshot, newestHealth, this::isUsable);
+    Map<ServiceId, List<OwnedServer>> owned =
+        list.servers().stream().collect(Collectors.groupingBy(server -> server.server().service()));
+    for (Service service : snapshot.configuration().orElseThrow().deployment().services()) {
+      dispatchers
+          .computeIfAbsent(service.id(), id -> create(service))
+          .update(owned.getOrDefault(service.id(), List.of()), nowNanos);
+    }
+  }
+
+  private boolean isUsable(BackendServerId server, ResourceGrant grant) {
+    return grant.epoch() > stoppedEpochs.getOrDefault(server, Long.MIN_VALUE);
+  }
+
+  private FairSlotDispatcher create(Service service) {
+    return new FairSlotDispatcher(service.maxQueueLength(), permitsDispatch);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/health/BackendHealthPoller.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/health/BackendHealthPoller.java
@@ -2,7 +2,6 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import io.activej.dns.IDnsClient;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
@@ -16,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.toucanrack.configuration.BackendServer;
 import org.toucanrack.id.BackendServerId;
+import org.toucanrack.internal.transport.http.LiteralAddresses;
 
 /**
  * Reads health and load of the backend servers that this VM owns, once in each period.
@@ -34,12 +34,10 @@
 
   /** Creates a poller; the listener gets all states after each change. */
   public BackendHealthPoller(
-      NioReactor reactor,
-      IDnsClient dnsClient,
-      Consumer<Map<BackendServerId, BackendHealth>> listener) {
+      NioReactor reactor, Consumer<Map<BackendServerId, BackendHealth>> listener) {
     this.listener = listener;
     this.client =
-        HttpClient.builder(reactor, dnsClient)
+        HttpClient.builder(reactor, new LiteralAddresses())
             .withConnectTimeout(TIMEOUT)
             .withReadWriteTimeout(TIMEOUT)
             .withKeepAliveTimeout(Duration.ofSeconds(10))
