Check callers' bytes, headers, keys and time before a request runs

Content-Length with Transfer-Encoding got ActiveJ's own bare 400; two key headers, a key in query or cookie, a bare line feed in a pipelined request and an encoded dot segment got 200 or 401; slow senders stayed; a chunked body over the limit hung; a key withdrawn during an upload was served; no caller's header passed on.

Ruled out: HttpMessage.loadBody with a limit, which closes the connection with a bare 400 before the 413 can be written; BodyReader reads the stream.

Change: CheckedSocket stands between the TCP socket and ActiveJ's parser and feeds FramingCheck. It counts connections, has header and body time-outs and discards input after a last response, so that no reset destroys it. Admission refuses keys outside key headers, also the caller's own secret under any other name, stale keys on keyed routes, and checks the key again after an upload. Routes are matched on the decoded path.

--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/HeaderRules.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/HeaderRules.java
@@ -64,7 +64,7 @@
     List<HeaderField> passed = new ArrayList<>();
     for (HeaderField field : received) {
       String name = lowerName(field);
-      if (REQUEST_HEADERS.contains(name) && !hopByHop.contains(name) && !decodedGzip(field)) {
+      if (REQUEST_HEADERS.contains(name) && !hopByHop.contains(name)) {
         passed.add(field);
       }
     }
@@ -88,7 +88,7 @@
     return passed;
   }
 
-  /** ActiveJ hands out gzip bodies decoded, so the header no longer describes the body. */
+  /** ActiveJ's client hands out gzip bodies decoded, so the header no longer describes the body. */
   private static boolean decodedGzip(HeaderField field) {
     return lowerName(field).equals("content-encoding") && field.getValue().strip().equals("gzip");
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/Admission.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/Admission.java
@@ -5,13 +5,18 @@
 import io.activej.http.HttpRequest;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.configuration.Configuration;
 import org.toucanrack.configuration.Route;
 import org.toucanrack.configuration.Service;
 import org.toucanrack.id.CustomerId;
+import org.toucanrack.internal.protocol.HeaderRules;
+import org.toucanrack.internal.protocol.KeyNames;
+import org.toucanrack.internal.protocol.RequestTarget;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
+import org.toucanrack.internal.protocol.generated.HeaderField;
 import org.toucanrack.internal.state.ControlSnapshot;
 
 /** Matches routes and checks keys. Thread-safe. */
@@ -33,22 +38,29 @@
 
   private record KnownKeys(Configuration configuration, KeyRing ring) {}
 
-  Result admit(HttpRequest request, long nowNanos) {
+  Result admit(HttpRequest request, long arrivedNanos) {
     ControlSnapshot snapshot = collaborators.snapshot().get();
     if (!snapshot.ready() || snapshot.configuration().isEmpty()) {
       return refused(ErrorCode.NOT_READY, "This VM is not ready. Use another one.");
     }
+    List<HeaderField> headers = HeaderRules.forBackend(MessageHeaders.of(request));
+    if (leaksKey(request, headers)) {
+      return refused(
+          ErrorCode.INVALID_REQUEST,
+          "Send the key in Authorization or X-Api-Key only, never in the query or in cookies.");
+    }
     Configuration configuration = snapshot.configuration().get();
     ServicePath path = ServicePath.parse(request.getPathAndQuery());
-    Optional<Service> service =
-        configuration.deployment().services().stream()
-            .filter(candidate -> candidate.id().value().equals(path.service()))
-            .findFirst();
+    Optional<Service> service = serviceOf(configuration, path);
     Optional<Route> route =
-        service.flatMap(found -> found.routeFor(request.getMethod().name(), path.path()));
+        service.flatMap(found -> found.routeFor(request.getMethod().name(), decoded(path)));
     if (route.isEmpty()) {
       return refused(ErrorCode.UNKNOWN_ROUTE, "No declared route matches the method and path.");
     }
+    if (!route.get().open() && keysAreStale(snapshot, configuration, service.get())) {
+      return refused(
+          ErrorCode.KEYS_NOT_FRESH, "This VM cannot tell which keys are revoked. Use another one.");
+    }
     Optional<CustomerId> customer =
         route.get().open() ? Optional.of(ANONYMOUS) : customerOf(configuration, request);
     if (customer.isEmpty()) {
@@ -62,13 +74,56 @@
             customer.get(),
             request.getMethod().name(),
             path.target(),
-            List.of(),
+            headers,
             ByteString.EMPTY,
-            nowNanos,
-            nowNanos + route.get().timeout().toNanos()),
+            arrivedNanos,
+            arrivedNanos + timeoutNanos(route.get(), request)),
         null);
   }
 
+  /** Also finds the caller's own secret under any other name. */
+  private static boolean leaksKey(HttpRequest request, List<HeaderField> headers) {
+    String target = request.getPathAndQuery();
+    boolean named =
+        KeyNames.inQuery(target)
+            || headers.stream()
+                .filter(field -> field.getName().equalsIgnoreCase("cookie"))
+                .anyMatch(field -> KeyNames.inCookies(field.getValue()));
+    String secret = secretOf(request);
+    return named
+        || (secret != null
+            && !secret.isEmpty()
+            && (RequestTarget.decode(target).orElse(target).contains(secret)
+                || headers.stream().anyMatch(field -> field.getValue().contains(secret))));
+  }
+
+  private boolean keysAreStale(
+      ControlSnapshot snapshot, Configuration configuration, Service service) {
+    long age = snapshot.keyFreshness().ageNanos(collaborators.clock().getAsLong());
+    return !service.serveKeyedWhenCutOff()
+        && age > configuration.deployment().rules().keyFreshness().toNanos();
+  }
+
+  private static Optional<Service> serviceOf(Configuration configuration, ServicePath path) {
+    return configuration.deployment().services().stream()
+        .filter(candidate -> candidate.id().value().equals(path.service()))
+        .findFirst();
+  }
+
+  /** Backend servers decode paths, so the route is matched on what they will see. */
+  private static String decoded(ServicePath path) {
+    return RequestTarget.decode(path.path()).orElse(path.path());
+  }
+
+  private static long timeoutNanos(Route route, HttpRequest request) {
+    String wanted = request.getHeader(HttpHeaders.of("Toucanrack-Deadline-Ms"));
+    long limit = route.timeout().toNanos();
+    if (wanted == null || !wanted.matches("[0-9]{1,9}")) {
+      return limit;
+    }
+    return Math.min(limit, TimeUnit.MILLISECONDS.toNanos(Long.parseLong(wanted)));
+  }
+
   private String nextId(ControlSnapshot snapshot) {
     return snapshot.self().incarnation().vm()
         + "."
@@ -78,12 +133,14 @@
   }
 
   private Optional<CustomerId> customerOf(Configuration configuration, HttpRequest request) {
+    return Optional.ofNullable(secretOf(request)).flatMap(keysOf(configuration)::customerOf);
+  }
+
+  private static String secretOf(HttpRequest request) {
     String bearer = request.getHeader(HttpHeaders.AUTHORIZATION);
-    String secret =
-        bearer != null && bearer.startsWith(BEARER)
-            ? bearer.substring(BEARER.length())
-            : request.getHeader(HttpHeaders.of("X-Api-Key"));
-    return secret == null ? Optional.empty() : keysOf(configuration).customerOf(secret);
+    return bearer != null && bearer.startsWith(BEARER)
+        ? bearer.substring(BEARER.length()).strip()
+        : request.getHeader(HttpHeaders.of("X-Api-Key"));
   }
 
   private KeyRing keysOf(Configuration configuration) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerResponse.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerResponse.java
@@ -1,7 +1,5 @@
 package org.toucanrack.internal.transport.http;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import org.toucanrack.Verdict;
@@ -11,7 +9,6 @@
 /** Turns answers into responses to callers. Stateless and thread-safe. */
 final class CallerResponse {
 
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final long MILLIS_PER_SECOND = 1000;
 
   private CallerResponse() {}
@@ -24,24 +21,19 @@
         .build();
   }
 
-  static HttpResponse of(ForwardAnswer answer) {
+  static HttpResponse of(ForwardAnswer answer, boolean closes) {
     Verdict verdict = Answers.verdictOf(answer);
     HttpResponse.Builder response = HttpResponse.ofCode(answer.getStatus());
     for (HeaderField field : answer.getHeadersList()) {
       response.withHeader(HttpHeaders.of(field.getName()), field.getValue());
     }
     response.withHeader(HttpHeaders.of("Toucanrack-Verdict"), verdict.headerValue());
+    if (closes) {
+      response.withHeader(HttpHeaders.CONNECTION, "close");
+    }
     if (verdict == Verdict.RAN) {
       return response.withBody(answer.getBody().toByteArray()).build();
     }
-    return response.withJson(refusalBody(answer, verdict)).build();
-  }
-
-  private static String refusalBody(ForwardAnswer answer, Verdict verdict) {
-    ObjectNode body = JSON.createObjectNode();
-    body.put("code", answer.getErrorCode());
-    body.put("message", answer.getMessage());
-    body.put("verdict", verdict.headerValue());
-    return body.toString();
+    return response.withJson(Refusals.json(answer)).build();
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerServlet.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerServlet.java
@@ -1,7 +1,7 @@
 package org.toucanrack.internal.transport.http;
 
-import com.google.protobuf.ByteString;
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -14,6 +14,9 @@
 /** Serves the requests of callers on one event loop. */
 final class CallerServlet implements AsyncServlet {
 
+  private static final ForwardAnswer BODY_TOO_LARGE =
+      Answers.notRun(ErrorCode.BODY_TOO_LARGE, "The body is over the route's limit.");
+
   private final TrafficCollaborators collaborators;
   private final Admission admission;
   private final RequestSender sender;
@@ -26,28 +29,54 @@
 
   @Override
   public Promise<HttpResponse> serve(HttpRequest request) {
+    CheckedSocket socket = (CheckedSocket) request.getConnection().getUserData();
+    socket.beginServing();
+    return answer(request, socket).whenComplete(socket::endServing);
+  }
+
+  private Promise<HttpResponse> answer(HttpRequest request, CheckedSocket socket) {
     long arrivedNanos = collaborators.clock().getAsLong();
     Admission.Result result = admission.admit(request, arrivedNanos);
     if (result.admitted() == null) {
-      return Promise.of(CallerResponse.of(result.refusal()));
+      return Promise.of(refused(request, socket, result.refusal()));
     }
     AdmittedRequest admitted = result.admitted();
-    return request
-        .loadBody(admitted.route().maxBodyBytes())
+    if (declaredLength(request) > admitted.route().maxBodyBytes()) {
+      return Promise.of(refused(request, socket, BODY_TOO_LARGE));
+    }
+    return BodyReader.read(request, admitted.route().maxBodyBytes())
         .then(
-            body -> {
-              ByteString bytes = ByteString.copyFrom(body.getArray());
-              return Promise.ofCompletionStage(run(admitted.withBody(bytes)));
-            },
-            failure ->
-                Promise.of(
-                    Answers.notRun(
-                        ErrorCode.BODY_TOO_LARGE,
-                        "The body is over the route's limit or incomplete.")))
-        .map(answer -> answered(admitted, answer));
+            body ->
+                body.isEmpty()
+                    ? Promise.of(refused(request, socket, BODY_TOO_LARGE))
+                    : Promise.ofCompletionStage(run(request, admitted.withBody(body.get())))
+                        .map(answer -> answered(admitted, answer)));
+  }
+
+  /** A refusal before the body was read ends the connection, since its rest would be in the way. */
+  private static HttpResponse refused(
+      HttpRequest request, CheckedSocket socket, ForwardAnswer refusal) {
+    boolean hasBody =
+        declaredLength(request) > 0 || request.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
+    if (hasBody) {
+      socket.closeAfterResponse();
+    }
+    return CallerResponse.of(refusal, hasBody);
   }
 
-  private CompletionStage<ForwardAnswer> run(AdmittedRequest admitted) {
+  private static long declaredLength(HttpRequest request) {
+    String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+    return length == null ? 0 : Long.parseLong(length.strip());
+  }
+
+  private CompletionStage<ForwardAnswer> run(HttpRequest request, AdmittedRequest admitted) {
+    Admission.Result again =
+        admitted.body().isEmpty()
+            ? new Admission.Result(admitted, null)
+            : admission.admit(request, admitted.arrivedNanos());
+    if (again.admitted() == null) {
+      return CompletableFuture.completedFuture(again.refusal());
+    }
     return collaborators
         .rateLimiter()
         .acquire(admitted.customer(), collaborators.clock().getAsLong())
@@ -73,6 +102,6 @@
             answer.getStatus(),
             Answers.verdictOf(answer),
             collaborators.clock().getAsLong() - admitted.arrivedNanos());
-    return CallerResponse.of(answer);
+    return CallerResponse.of(answer, false);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
@@ -1,7 +1,6 @@
 package org.toucanrack.internal.transport.http;
 
 import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpServer;
 import io.activej.net.PrimaryServer;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.toucanrack.internal.protocol.generated.PeerEnvelope;
 
 /**
@@ -39,11 +39,12 @@
     OwnerExecutor owner = new OwnerExecutor(collaborators, clients);
     RequestSender sender = new RequestSender(collaborators, owner);
     Admission admission = new Admission(collaborators);
+    AtomicInteger connections = new AtomicInteger();
     List<CallersServer> workers = new ArrayList<>();
     for (Eventloop loop : loops) {
-      HttpServer http =
-          HttpServer.builder(loop, new CallerServlet(collaborators, admission, sender)).build();
-      workers.add(new CallersServer(loop, http));
+      workers.add(
+          new CallersServer(
+              loop, new CallerServlet(collaborators, admission, sender), settings, connections));
     }
     Eventloop acceptor = Eventloop.builder().withThreadName("traffic-accept").build();
     loops.add(acceptor);
