Start peer connections from the VM's own address; add the harness for process scenarios

Cause: scenarios cut failure domains from each other, so a relay between VMs has to see which failure domain a connection comes from. Change: PeerSettings separates the address to listen on from the one told to peers, and outgoing connections bind to the former's IP number. Measured: compiles; no scenario is run yet.

--- /dev/null
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Caller.java
@@ -0,0 +1,69 @@
+package org.toucanrack.scenarios.fleet;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A caller that keeps what it was told of each request. Thread-safe. */
+public final class Caller {
+
+  /** What a caller knows of one request. */
+  public record Answer(
+      String id, String address, int status, String verdict, String body, long atNanos) {
+
+    /** Returns whether the entry VM said that the request was not run. */
+    public boolean isNotRun() {
+      return verdict.equals("not-run");
+    }
+
+    /** Returns whether the request ran and was answered. */
+    public boolean isServed() {
+      return status == 200 && verdict.equals("ran");
+    }
+  }
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(1))
+          .build();
+  private final List<Answer> answers = new CopyOnWriteArrayList<>();
+
+  /** Sends one request; the answer of an entry VM that does not answer has the verdict "none". */
+  public CompletableFuture<Answer> send(
+      String address, String method, String path, Optional<String> key, Optional<String> ticket) {
+    String id = UUID.randomUUID().toString();
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://" + address + path))
+            .timeout(Duration.ofSeconds(8))
+            .header("X-Caller-Request-Id", id)
+            .method(method, HttpRequest.BodyPublishers.ofString(method.equals("POST") ? id : ""));
+    key.ifPresent(secret -> request.header("Authorization", "Bearer " + secret));
+    ticket.ifPresent(value -> request.header("Toucanrack-Ticket", value));
+    return client
+        .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+        .handle((response, failure) -> answer(id, address, response))
+        .whenComplete((answer, failure) -> answers.add(answer));
+  }
+
+  /** Returns all answers so far. */
+  public List<Answer> answers() {
+    return List.copyOf(answers);
+  }
+
+  private static Answer answer(String id, String address, HttpResponse<String> response) {
+    if (response == null) {
+      return new Answer(id, address, 0, "none", "", System.nanoTime());
+    }
+    String verdict = response.headers().firstValue("Toucanrack-Verdict").orElse("none");
+    return new Answer(
+        id, address, response.statusCode(), verdict, response.body(), System.nanoTime());
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/ChildProcess.java
@@ -0,0 +1,100 @@
+package org.toucanrack.scenarios.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One process of the system under test. */
+public final class ChildProcess implements AutoCloseable {
+
+  private static final long STOP_SECONDS = 30;
+
+  private final String name;
+  private final Process process;
+  private final Path log;
+
+  private ChildProcess(String name, Process process, Path log) {
+    this.name = name;
+    this.process = process;
+    this.log = log;
+  }
+
+  static ChildProcess start(String name, Path directory, String mainClass, List<String> arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp"));
+    command.add(System.getProperty("java.class.path"));
+    command.add(mainClass);
+    command.addAll(arguments);
+    Path log = directory.resolve(name + "-" + System.nanoTime() + ".log");
+    try {
+      Process process =
+          new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+      return new ChildProcess(name, process, log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Ends the process at once. */
+  public void kill() {
+    process.destroyForcibly();
+    await();
+  }
+
+  /** Asks the process to stop and returns without waiting. */
+  public void terminate() {
+    process.destroy();
+  }
+
+  /** Waits for the end of the process. */
+  public void await() {
+    try {
+      if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+        throw new IllegalStateException(name + " did not stop in " + STOP_SECONDS + " s");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Stops the process from running until {@link #resume}. */
+  public void pause() {
+    signal("-STOP");
+  }
+
+  /** Lets a paused process run again. */
+  public void resume() {
+    signal("-CONT");
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  int exitCode() {
+    return process.exitValue();
+  }
+
+  Path log() {
+    return log;
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+
+  private void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", signal, String.valueOf(process.pid())).start().waitFor();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/DeploymentFiles.java
@@ -0,0 +1,86 @@
+package org.toucanrack.scenarios.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Writes the declaration of the small deployment that scenarios use. */
+final class DeploymentFiles {
+
+  static final List<String> DOMAINS = List.of("alpha-a", "alpha-b", "beta-a");
+  static final int SLOTS = 3;
+
+  private final List<Integer> backendPorts;
+
+  DeploymentFiles(List<Integer> backendPorts) {
+    this.backendPorts = backendPorts;
+  }
+
+  static int servers() {
+    return 2 * 2 * DOMAINS.size();
+  }
+
+  Path write(Path directory, double requestsPerSecond) {
+    StringBuilder yaml = new StringBuilder();
+    yaml.append(
+        """
+        name: scenario
+        regions:
+          - name: alpha
+            failureDomains: [alpha-a, alpha-b]
+          - name: beta
+            failureDomains: [beta-a]
+        links:
+          - {first: alpha, second: beta, bitsPerSecond: 1000000000}
+        rules:
+          shift: {capFraction: 0.5, windowSeconds: 2}
+          lookupTtlSeconds: 3
+          keyFreshnessSeconds: 4
+        services:
+          - name: catalogue
+            retryBudgetFraction: 0.1
+            maxQueueLength: 100
+            routes:
+              - {name: public, methods: [GET], pathPrefix: /public, idempotent: true, open: true, timeoutMillis: 2000}
+              - {name: browse, methods: [GET], pathPrefix: /, idempotent: true, timeoutMillis: 2000}
+            versions: [{name: v1}]
+          - name: orders
+            retryBudgetFraction: 0.1
+            maxQueueLength: 100
+            routes:
+              - {name: place, methods: [POST], pathPrefix: /, idempotent: false, timeoutMillis: 3000}
+              - {name: status, methods: [GET], pathPrefix: /, idempotent: true, timeoutMillis: 2000}
+            versions: [{name: v1}]
+        backendServers:
+        """);
+    int next = 0;
+    for (String domain : DOMAINS) {
+      for (String service : List.of("catalogue", "orders")) {
+        for (int number = 1; number <= 2; number++) {
+          yaml.append(server(service, domain, number, backendPorts.get(next++)));
+        }
+      }
+    }
+    yaml.append("customers:\n");
+    for (String customer : List.of("press", "studio", "anonymous")) {
+      yaml.append(
+          "  - {name: %s, requestsPerSecond: %s, burst: %s}%n"
+              .formatted(customer, requestsPerSecond, Math.max(1, requestsPerSecond)));
+    }
+    try {
+      Files.createDirectories(directory);
+      Files.writeString(directory.resolve("deployment.yaml"), yaml);
+      return directory;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static String server(String service, String domain, int number, int port) {
+    return ("  - {name: %s-%s-%d, service: %s, version: v1, failureDomain: %s, host: 127.0.0.1,"
+            + " port: %d, slots: %d, maxConnections: 350}\n")
+        .formatted(service, domain, number, service, domain, port, SLOTS);
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/NettyPeerTransport.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/NettyPeerTransport.java
@@ -50,7 +50,7 @@
 
   /** Listens on the peers' address of the settings and returns the bound port. */
   public int listen() {
-    InetSocketAddress address = PeerAddress.parse(settings.self().peersAddress());
+    InetSocketAddress address = settings.listen();
     try {
       Channel server = serverBootstrap().bind(address).syncUninterruptibly().channel();
       return ((InetSocketAddress) server.localAddress()).getPort();
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/OutboundPeer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/OutboundPeer.java
@@ -149,6 +149,7 @@
 
   private Bootstrap bootstrap() {
     return PeerBootstrap.client(loop, settings.limits())
+        .localAddress(settings.listen().getAddress(), 0)
         .handler(
             new ChannelInitializer<Channel>() {
               @Override
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PeerSettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PeerSettings.java
@@ -1,5 +1,6 @@
 package org.toucanrack.internal.transport.peer;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
 import org.toucanrack.internal.state.Member;
@@ -7,15 +8,23 @@
 /**
  * Settings of a peer transport. Immutable and thread-safe.
  *
- * @param self this VM, as told to peers in the handshake; its peers' address is listened on
+ * @param self this VM, as told to peers in the handshake
+ * @param listen where to listen; connections to peers start from the same IP number
  * @param secret shared by all VMs of the deployment
  * @param limits bounds and timeouts
  */
-public record PeerSettings(Member self, String secret, Limits limits) {
+public record PeerSettings(
+    Member self, InetSocketAddress listen, String secret, Limits limits) {
+
+  /** Listens on the address that peers are told. */
+  public PeerSettings(Member self, String secret, Limits limits) {
+    this(self, PeerAddress.parse(self.peersAddress()), secret, limits);
+  }
 
   /** Rejects missing parts. */
   public PeerSettings {
     Objects.requireNonNull(self, "self");
+    Objects.requireNonNull(listen, "listen");
     Objects.requireNonNull(limits, "limits");
     if (secret == null || secret.isEmpty()) {
       throw new IllegalArgumentException("the peer secret must not be empty");
