Add plan, status, key, drain and move, with tests of all commands

Cause: operators could only apply and read the configuration. Reading 'yes' as a flag: Jackson takes it for a boolean, and a comparison with 'true' read it as false; it is now reported.

--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/AdoptionWait.java
@@ -0,0 +1,69 @@
+package org.toucanrack.internal.command;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.internal.command.DomainRows.MemberView;
+import org.toucanrack.platform.Platform;
+import org.toucanrack.platform.Row;
+import org.toucanrack.platform.StoreAnswer;
+
+/** Waits until every VM of the domain rows uses a version. Stateless and thread-safe. */
+final class AdoptionWait {
+
+  static final Flag WAIT = Flag.toggle("wait", "Waits until every VM uses the version.");
+  static final Flag WAIT_SECONDS =
+      Flag.of("wait-seconds", "N", "How long to wait for every VM.").withDefault("15");
+
+  private static final long MAX_WAIT_SECONDS = 3_600;
+  private static final long POLL_MILLIS = 500;
+
+  private AdoptionWait() {}
+
+  /** Reports faults of the flags; call it before the command changes anything. */
+  static void check(Settings settings) {
+    settings.isOn(WAIT);
+    settings.number(WAIT_SECONDS, 1, MAX_WAIT_SECONDS);
+  }
+
+  /** Waits if the operator asked for it; throws with the names of the VMs that are late. */
+  static void await(Settings settings, Platform platform, long version, PrintStream out) {
+    if (!settings.isOn(WAIT)) {
+      return;
+    }
+    Duration limit = Duration.ofSeconds(settings.number(WAIT_SECONDS, 1, MAX_WAIT_SECONDS));
+    long deadline = System.nanoTime() + limit.toNanos();
+    String late = "all VMs (the platform did not answer)";
+    do {
+      StoreAnswer<List<Row>> answer =
+          platform.tables().list(DomainRows.PREFIX).toCompletableFuture().join();
+      if (answer instanceof StoreAnswer.Done<List<Row>> done) {
+        List<MemberView> members = DomainRows.members(done.value());
+        late = late(members, version);
+        if (late.isEmpty()) {
+          out.println(
+              members.isEmpty()
+                  ? "No VM has joined yet; there is nothing to wait for."
+                  : "Version %d is in effect on all %d VMs.".formatted(version, members.size()));
+          return;
+        }
+      }
+      Pause.millis(POLL_MILLIS);
+    } while (System.nanoTime() - deadline < 0);
+    throw new ToucanrackException(
+        ErrorCode.NOT_IN_FORCE,
+        "Version %d was accepted, but is not in effect after %d s on: %s."
+                .formatted(version, limit.toSeconds(), late)
+            + " Run 'toucanrack status'.");
+  }
+
+  private static String late(List<MemberView> members, long version) {
+    return members.stream()
+        .filter(member -> member.configurationVersion() < version)
+        .map(member -> member.vm() + " (version " + member.versionText() + ")")
+        .collect(Collectors.joining(", "));
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/ApplyCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/ApplyCommand.java
@@ -1,12 +1,16 @@
 package org.toucanrack.internal.command;
 
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
 import org.toucanrack.configuration.Configuration;
 import org.toucanrack.configuration.Deployment;
 import org.toucanrack.configuration.Key;
 import org.toucanrack.internal.configuration.ConfigurationDirectory;
+import org.toucanrack.internal.configuration.DeclaredKeys;
 import org.toucanrack.internal.configuration.Publication;
 import org.toucanrack.platform.Platform;
 
@@ -28,29 +32,66 @@
 
   @Override
   public List<Flag> flags() {
-    return List.of(CommonFlags.FILE, BASED_ON, CommonFlags.OPERATOR, CommonFlags.PLATFORM);
+    return List.of(
+        CommonFlags.FILE,
+        BASED_ON,
+        AdoptionWait.WAIT,
+        AdoptionWait.WAIT_SECONDS,
+        CommonFlags.OPERATOR,
+        CommonFlags.PLATFORM);
   }
 
   @Override
   public ExitCode run(Invocation invocation) {
     Settings settings = invocation.settings();
-    String directory = settings.required(CommonFlags.FILE);
+    final String directory = settings.required(CommonFlags.FILE);
     Optional<Long> basedOn =
         settings.optional(BASED_ON).map(text -> settings.number(BASED_ON, 0, Long.MAX_VALUE));
-    String operator = settings.required(CommonFlags.OPERATOR);
+    String operator = settings.operator();
     settings.addresses(CommonFlags.PLATFORM);
+    AdoptionWait.check(settings);
     settings.throwIfFaulty();
-    Deployment deployment = ConfigurationDirectory.read(Path.of(directory));
+    Deployment declared = ConfigurationDirectory.read(Path.of(directory));
     try (Platform platform = invocation.openPlatform()) {
-      VersionSequence sequence = new VersionSequence(platform);
-      Optional<Configuration> current = sequence.current();
-      List<Key> keys = current.map(Configuration::keys).orElse(List.of());
-      long base = basedOn.orElse(current.map(Configuration::version).orElse(0L));
-      long version =
-          sequence.publish(
-              new Publication(base, deployment, keys, sequence.newOperation(), operator));
-      invocation.out().println("Accepted as version " + version + ".");
+      long version = apply(platform, declared, basedOn, operator, invocation.out());
+      AdoptionWait.await(settings, platform, version, invocation.out());
     }
     return ExitCode.DONE;
   }
+
+  private static long apply(
+      Platform platform,
+      Deployment declared,
+      Optional<Long> basedOn,
+      String operator,
+      PrintStream out) {
+    VersionSequence sequence = new VersionSequence(platform);
+    Optional<Configuration> current = sequence.current();
+    DeclaredKeys.checkCustomers(current, declared);
+    long currentVersion = current.map(Configuration::version).orElse(0L);
+    checkBase(basedOn, currentVersion);
+    boolean unchanged = current.map(Configuration::deployment).equals(Optional.of(declared));
+    if (unchanged) {
+      out.println("Version " + currentVersion + " already declares this; nothing was published.");
+      return currentVersion;
+    }
+    List<Key> keys = current.map(Configuration::keys).orElse(List.of());
+    long version =
+        sequence.publish(
+            new Publication(
+                currentVersion, declared, keys, VersionSequence.newOperation(), operator));
+    out.println("Accepted as version " + version + ".");
+    return version;
+  }
+
+  /** The keys of the next version come from the version read here, so it must be the base. */
+  private static void checkBase(Optional<Long> basedOn, long currentVersion) {
+    if (basedOn.isPresent() && basedOn.get() != currentVersion) {
+      throw new ToucanrackException(
+          ErrorCode.CONFLICT,
+          "The change is based on version %d, but version %d is current."
+                  .formatted(basedOn.get(), currentVersion)
+              + " Run 'toucanrack plan' and try again.");
+    }
+  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/CommonFlags.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/CommonFlags.java
@@ -14,8 +14,10 @@
   static final Flag FILE =
       Flag.of("file", "DIR", "Directory of the declared *.yaml files.").withShortName("f");
   static final Flag OPERATOR =
-      Flag.of("operator", "NAME", "Who makes the change; recorded with it.")
-          .withDefault(System.getProperty("user.name", "unknown"));
+      Flag.of(
+          "operator",
+          "NAME",
+          "Who makes the change, recorded with it; the operating system's user if not given.");
 
   private CommonFlags() {}
 
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/DomainRows.java
@@ -0,0 +1,57 @@
+package org.toucanrack.internal.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.toucanrack.platform.Row;
+
+/**
+ * Reads the rows of the failure domains, {@code domain/FD}. Fields that a row lacks are shown as
+ * unknown, so that status works while VMs of two releases run. Stateless and thread-safe.
+ */
+final class DomainRows {
+
+  static final String PREFIX = "domain/";
+
+  private static final long UNKNOWN_VERSION = -1;
+
+  private DomainRows() {}
+
+  /**
+   * One VM as its failure domain's row describes it.
+   *
+   * @param vm its name
+   * @param failureDomain where it is
+   * @param callersAddress address for callers
+   * @param draining whether it is stopping as planned
+   * @param configurationVersion the version it uses; negative if the row does not say
+   */
+  record MemberView(
+      String vm,
+      String failureDomain,
+      String callersAddress,
+      boolean draining,
+      long configurationVersion) {
+
+    String versionText() {
+      return configurationVersion < 0 ? "unknown" : Long.toString(configurationVersion);
+    }
+  }
+
+  static List<MemberView> members(List<Row> rows) {
+    List<MemberView> members = new ArrayList<>();
+    for (Row row : rows) {
+      String domain = row.key().substring(PREFIX.length());
+      for (JsonNode member : TableRecords.parse(row).path("members")) {
+        members.add(
+            new MemberView(
+                member.path("vm").asText("unknown"),
+                domain,
+                member.path("callersAddress").asText("unknown"),
+                member.path("draining").asBoolean(),
+                member.path("configurationVersion").asLong(UNKNOWN_VERSION)));
+      }
+    }
+    return members;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/DrainCommand.java
@@ -0,0 +1,129 @@
+package org.toucanrack.internal.command;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.List;
+import java.util.Optional;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.VmId;
+import org.toucanrack.platform.Platform;
+import org.toucanrack.platform.Row;
+
+/** Takes a backend server or a VM out of service, or back into it. */
+final class DrainCommand implements Command {
+
+  static final String PREFIX = "drain/";
+
+  private static final Flag BACKEND_SERVER =
+      Flag.of("backend-server", "NAME", "The backend server that gets no new work.");
+  private static final Flag VM = Flag.of("vm", "NAME", "The VM that is to stop as planned.");
+  private static final Flag UNDO = Flag.toggle("undo", "Ends the drain.");
+
+  @Override
+  public String name() {
+    return "drain";
+  }
+
+  @Override
+  public String summary() {
+    return "Takes a backend server or a VM out of service, or back into it.";
+  }
+
+  @Override
+  public List<Flag> flags() {
+    return List.of(BACKEND_SERVER, VM, UNDO, CommonFlags.OPERATOR, CommonFlags.PLATFORM);
+  }
+
+  /**
+   * What is drained.
+   *
+   * @param kind {@code backend-server} or {@code vm}
+   * @param name its name
+   */
+  private record Target(String kind, String name) {
+    String key() {
+      return PREFIX + kind + "/" + name;
+    }
+
+    @Override
+    public String toString() {
+      return kind + " '" + name + "'";
+    }
+  }
+
+  @Override
+  public ExitCode run(Invocation invocation) {
+    Settings settings = invocation.settings();
+    Optional<Target> target = target(settings);
+    boolean undo = settings.isOn(UNDO);
+    String operator = settings.operator();
+    try (Platform platform = invocation.openPlatform()) {
+      TableRecords records = new TableRecords(platform);
+      Optional<Row> before = records.read(target.orElseThrow().key());
+      String result =
+          undo
+              ? undo(records, target.get(), before)
+              : drain(platform, target.get(), before, operator);
+      invocation.out().println(result);
+    }
+    return ExitCode.DONE;
+  }
+
+  private static Optional<Target> target(Settings settings) {
+    boolean server = settings.optional(BACKEND_SERVER).isPresent();
+    if (server == settings.optional(VM).isPresent()) {
+      settings.fault("Give either %s or %s.".formatted(BACKEND_SERVER, VM));
+      return Optional.empty();
+    }
+    return server
+        ? settings
+            .checked(BACKEND_SERVER, BackendServerId::new)
+            .map(id -> new Target("backend-server", id.value()))
+        : settings.checked(VM, VmId::new).map(id -> new Target("vm", id.value()));
+  }
+
+  private static String drain(
+      Platform platform, Target target, Optional<Row> before, String operator) {
+    if (before.isPresent()) {
+      return "%s is already being drained, since %s."
+          .formatted(target, TableRecords.parse(before.get()).path("since").asText());
+    }
+    if (target.kind().equals("backend-server")) {
+      requireDeclared(platform, target);
+    }
+    ObjectNode value =
+        TableRecords.JSON
+            .createObjectNode()
+            .put("kind", target.kind())
+            .put("name", target.name())
+            .put("since", Instant.now().truncatedTo(ChronoUnit.SECONDS).toString())
+            .put("operator", operator);
+    new TableRecords(platform).write(target.key(), before, value);
+    return "%s is being drained.".formatted(target);
+  }
+
+  private static void requireDeclared(Platform platform, Target target) {
+    boolean declared =
+        new VersionSequence(platform)
+            .requireCurrent()
+            .deployment()
+            .backendServer(new BackendServerId(target.name()))
+            .isPresent();
+    if (!declared) {
+      throw new ToucanrackException(
+          ErrorCode.INVALID_SETTINGS,
+          "There is no %s. Run 'toucanrack get' for the declared names.".formatted(target));
+    }
+  }
+
+  private static String undo(TableRecords records, Target target, Optional<Row> before) {
+    if (before.isEmpty()) {
+      return target + " is not being drained.";
+    }
+    records.delete(before.get());
+    return target + " is back in service.";
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/HelpText.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/HelpText.java
@@ -49,8 +49,12 @@
   private static String describe(Flag flag) {
     String shortName = flag.shortName().map(letter -> "-" + letter + ", ").orElse("");
     String argument = flag.argument().map(name -> " " + name).orElse("");
-    String defaultValue = flag.defaultValue().map(" Default: %s."::formatted).orElse("");
-    return "  %s%s%s%n      %s%s%n      Environment variable: %s%n"
-        .formatted(shortName, flag, argument, flag.description(), defaultValue, flag.variable());
+    String defaultValue = flag.defaultValue().map(" Default: %s"::formatted).orElse("");
+    String variable =
+        flag.equals(CommonFlags.HELP)
+            ? ""
+            : "      Environment variable: %s%n".formatted(flag.variable());
+    return "  %s%s%s%n      %s%s%n%s"
+        .formatted(shortName, flag, argument, flag.description(), defaultValue, variable);
   }
 }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/MoveCommand.java
@@ -0,0 +1,133 @@
+package org.toucanrack.internal.command;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.id.MoveId;
+import org.toucanrack.platform.Platform;
+import org.toucanrack.platform.Row;
+
+/** Starts, shows and aborts planned moves of traffic. */
+final class MoveCommand implements Command {
+
+  static final String PREFIX = "move/";
+
+  private static final int MAX_ABORT_ATTEMPTS = 5;
+  private static final Flag MOVE = Flag.of("move", "NAME", "Name of the move.");
+
+  @Override
+  public String name() {
+    return "move";
+  }
+
+  @Override
+  public String arguments() {
+    return "start|status|abort";
+  }
+
+  @Override
+  public String summary() {
+    return "Starts, shows or aborts a planned move of traffic.";
+  }
+
+  @Override
+  public List<Flag> flags() {
+    return List.of(
+        MOVE,
+        MoveDeclaration.SERVICE,
+        MoveDeclaration.FROM,
+        MoveDeclaration.TO,
+        MoveDeclaration.CAP,
+        MoveDeclaration.STEP,
+        MoveDeclaration.WINDOW_SECONDS,
+        MoveDeclaration.DEADLINE,
+        MoveDeclaration.REASON,
+        CommonFlags.OPERATOR,
+        CommonFlags.PLATFORM);
+  }
+
+  @Override
+  public ExitCode run(Invocation invocation) {
+    Settings settings = invocation.settings();
+    String action = settings.action("start", "status", "abort");
+    Optional<MoveId> move = settings.checked(MOVE, MoveId::new);
+    Optional<MoveDeclaration> declaration =
+        action.equals("start") ? MoveDeclaration.read(settings) : Optional.empty();
+    try (Platform platform = invocation.openPlatform()) {
+      TableRecords records = new TableRecords(platform);
+      String key = PREFIX + move.orElseThrow();
+      Optional<Row> before = records.read(key);
+      String result =
+          declaration.isPresent()
+              ? start(platform, key, before, declaration.get())
+              : showOrAbort(action, records, required(key, before), settings);
+      invocation.out().println(result);
+    }
+    return ExitCode.DONE;
+  }
+
+  private static String showOrAbort(
+      String action, TableRecords records, Row before, Settings settings) {
+    return action.equals("abort")
+        ? abortDespiteSteps(records, before, settings)
+        : MoveText.describe(TableRecords.parse(before));
+  }
+
+  /** VMs write the record at each step, so that an abort may come second. */
+  private static String abortDespiteSteps(TableRecords records, Row before, Settings settings) {
+    Row latest = before;
+    for (int attempt = 1; attempt < MAX_ABORT_ATTEMPTS; attempt++) {
+      try {
+        return abort(records, latest, settings);
+      } catch (ToucanrackException e) {
+        Row read = required(latest.key(), records.read(latest.key()));
+        if (e.code() != ErrorCode.CONFLICT || read.version() == latest.version()) {
+          throw e;
+        }
+        latest = read;
+      }
+    }
+    return abort(records, latest, settings);
+  }
+
+  private static String start(
+      Platform platform, String key, Optional<Row> before, MoveDeclaration declaration) {
+    if (before.isPresent()) {
+      throw new ToucanrackException(
+          ErrorCode.CONFLICT, "There is a record '" + key + "' already. Choose another name.");
+    }
+    Deployment deployment = new VersionSequence(platform).requireCurrent().deployment();
+    ObjectNode value = declaration.record(deployment, Instant.now());
+    new TableRecords(platform).write(key, before, value);
+    return "Started. Watch it with 'toucanrack move status'.";
+  }
+
+  /** A move that has shifted traffic is rolled back in capped steps; another one just ends. */
+  private static String abort(TableRecords records, Row before, Settings settings) {
+    ObjectNode value = TableRecords.parse(before);
+    if (!value.path("state").asText().equals(MoveText.RUNNING)) {
+      throw new ToucanrackException(
+          ErrorCode.CONFLICT,
+          "The move is no longer running: " + MoveText.describe(value) + " Nothing to abort.");
+    }
+    boolean shifted = value.path("split").asDouble() > 0;
+    value.put("state", shifted ? MoveText.TAKING_BACK : MoveText.ABORTED);
+    value.put("reason", "Aborted by " + settings.operator() + ".");
+    records.write(before.key(), Optional.of(before), value);
+    return shifted
+        ? "Aborted. The traffic is rolled back in capped steps."
+        : "Aborted. No traffic had been shifted.";
+  }
+
+  private static Row required(String key, Optional<Row> row) {
+    return row.orElseThrow(
+        () ->
+            new ToucanrackException(
+                ErrorCode.INVALID_SETTINGS,
+                "There is no record '" + key + "'. Run 'toucanrack status' for all moves."));
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/MoveText.java
@@ -0,0 +1,27 @@
+package org.toucanrack.internal.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** States of a move's record and its description for a person. Stateless and thread-safe. */
+final class MoveText {
+
+  static final String RUNNING = "running";
+  static final String TAKING_BACK = "taking back";
+  static final String ABORTED = "aborted";
+
+  private MoveText() {}
+
+  static String describe(JsonNode move) {
+    return "%s from %s to %s: %s, split %s, at most %s per %d s, deadline %s. %s"
+        .formatted(
+            move.path("service").asText(),
+            move.path("from").asText(),
+            move.path("to").asText(),
+            move.path("state").asText(),
+            move.path("split").asText(),
+            move.path("cap").asText(),
+            move.path("windowSeconds").asLong(),
+            move.path("deadline").asText(),
+            move.path("reason").asText());
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/OperatorPorts.java
@@ -0,0 +1,72 @@
+package org.toucanrack.internal.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Reads {@code /status} of VMs at their operators' ports, all at the same time. Thread-safe. */
+final class OperatorPorts {
+
+  private static final long CALL_TIMEOUT_MILLIS = 2_000;
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofMillis(CALL_TIMEOUT_MILLIS))
+          .build();
+
+  /**
+   * The status of one VM.
+   *
+   * @param address {@code IP:PORT} of its operators' port
+   * @param status what it answered; a missing node if it did not
+   * @param problem why there is no answer; empty if there is one
+   */
+  record VmStatus(String address, JsonNode status, String problem) {
+
+    boolean answered() {
+      return problem.isEmpty();
+    }
+  }
+
+  List<VmStatus> read(List<String> addresses) {
+    List<CompletableFuture<VmStatus>> calls = addresses.stream().map(this::start).toList();
+    return calls.stream().map(CompletableFuture::join).toList();
+  }
+
+  private CompletableFuture<VmStatus> start(String address) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + "/status")).build();
+    return client
+        .sendAsync(request, BodyHandlers.ofString())
+        .orTimeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .handle((response, failure) -> decode(address, response, failure));
+  }
+
+  private static VmStatus decode(String address, HttpResponse<String> response, Throwable failure) {
+    if (failure != null) {
+      Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+      return without(address, cause.getClass().getSimpleName());
+    }
+    if (response.statusCode() != 200) {
+      return without(address, "status " + response.statusCode());
+    }
+    try {
+      return new VmStatus(address, TableRecords.JSON.readTree(response.body()), "");
+    } catch (IOException e) {
+      return without(address, "the answer is not JSON");
+    }
+  }
+
+  private static VmStatus without(String address, String problem) {
+    return new VmStatus(address, TableRecords.JSON.missingNode(), problem);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Pause.java
@@ -0,0 +1,17 @@
+package org.toucanrack.internal.command;
+
+import java.util.concurrent.TimeUnit;
+
+/** Waits between attempts. Stateless and thread-safe. */
+final class Pause {
+
+  private Pause() {}
+
+  static void millis(long millis) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/Program.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Program.java
@@ -20,7 +20,15 @@
 public final class Program {
 
   static final List<Command> COMMANDS =
-      List.of(new ServeCommand(), new ApplyCommand(), new GetCommand());
+      List.of(
+          new ServeCommand(),
+          new ApplyCommand(),
+          new PlanCommand(),
+          new GetCommand(),
+          new StatusCommand(),
+          new KeyCommand(),
+          new DrainCommand(),
+          new MoveCommand());
 
   private final Map<String, String> environment;
   private final PrintStream out;
@@ -73,6 +81,7 @@
       return ExitCode.DONE;
     }
     Settings settings = Settings.parse(HelpText.allFlags(command), arguments, environment);
+    Logging.configure(settings.oneOf(CommonFlags.LOG_FORMAT, "plain", "json").equals("json"));
     return command.run(new Invocation(settings, out, platforms));
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
@@ -3,8 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
-import org.toucanrack.ToucanrackException;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.RegionId;
 import org.toucanrack.id.VmId;
@@ -68,9 +66,9 @@
 
   /** Reads all settings, or throws with all their faults. */
   static ServeSettings serveSettings(Settings settings) {
-    Optional<VmId> vm = idOf(settings, VM, VmId::new);
-    Optional<FailureDomainId> domain = idOf(settings, FAILURE_DOMAIN, FailureDomainId::new);
-    Optional<RegionId> region = idOf(settings, REGION, RegionId::new);
+    Optional<VmId> vm = settings.checked(VM, VmId::new);
+    Optional<FailureDomainId> domain = settings.checked(FAILURE_DOMAIN, FailureDomainId::new);
+    Optional<RegionId> region = settings.checked(REGION, RegionId::new);
     Optional<InetSocketAddress> callers = address(settings, CALLERS_LISTEN);
     Optional<InetSocketAddress> operators = address(settings, OPERATORS_LISTEN);
     Optional<InetSocketAddress> peers = address(settings, PEERS_LISTEN);
@@ -98,19 +96,6 @@
         settings.optional(OPERATOR_TOKEN));
   }
 
-  private static <T> Optional<T> idOf(Settings settings, Flag flag, Function<String, T> idType) {
-    String text = settings.required(flag);
-    if (text.isEmpty()) {
-      return Optional.empty();
-    }
-    try {
-      return Optional.of(idType.apply(text));
-    } catch (ToucanrackException e) {
-      settings.fault(flag + ": " + e.getMessage());
-      return Optional.empty();
-    }
-  }
-
   private static Optional<InetSocketAddress> address(Settings settings, Flag flag) {
     String text = settings.required(flag);
     return text.isEmpty() ? Optional.empty() : SocketAddresses.parse(settings, flag, text);
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/Settings.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Settings.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.MissingArgumentException;
@@ -28,6 +29,7 @@
 
   private final CommandLine commandLine;
   private final Map<String, String> environment;
+  private boolean actionExpected;
   private final Set<String> faults = new LinkedHashSet<>();
 
   private Settings(List<Flag> flags, List<String> arguments, Map<String, String> environment) {
@@ -45,11 +47,6 @@
     return new Settings(flags, arguments, environment);
   }
 
-  /** Returns the arguments that are no flags. */
-  List<String> positional() {
-    return commandLine.getArgList();
-  }
-
   boolean isOn(Flag toggle) {
     if (commandLine.hasOption(toggle.name())) {
       return true;
@@ -80,6 +77,35 @@
     return value.orElse("");
   }
 
+  String operator() {
+    return optional(CommonFlags.OPERATOR).orElse(System.getProperty("user.name", "unknown"));
+  }
+
+  /** Returns a value of an id type; empty if it is missing or not valid, which is reported. */
+  <T> Optional<T> checked(Flag flag, Function<String, T> idType) {
+    String text = required(flag);
+    if (text.isEmpty()) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(idType.apply(text));
+    } catch (ToucanrackException e) {
+      fault(flag + ": " + e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the single argument that is no flag, or reports a fault. */
+  String action(String... choices) {
+    actionExpected = true;
+    List<String> given = commandLine.getArgList();
+    String action = given.size() == 1 ? given.get(0) : "";
+    if (!Arrays.asList(choices).contains(action)) {
+      fault("Write one of these words, once: " + String.join(", ", choices) + ".");
+    }
+    return action;
+  }
+
   String oneOf(Flag flag, String... choices) {
     String value = required(flag);
     if (!value.isEmpty() && !Arrays.asList(choices).contains(value)) {
@@ -130,12 +156,30 @@
     return addresses;
   }
 
+  /** Returns a number above 0 and up to 1. */
+  double fraction(Flag flag) {
+    String value = required(flag);
+    try {
+      double fraction = Double.parseDouble(value);
+      if (fraction > 0 && fraction <= 1) {
+        return fraction;
+      }
+    } catch (NumberFormatException e) {
+      // Reported below, together with numbers out of range.
+    }
+    fault("%s is '%s'. Write a number above 0 and up to 1.".formatted(flag, value));
+    return 1;
+  }
+
   void fault(String message) {
     faults.add(message);
   }
 
   /** Throws with all faults if there is any. */
   void throwIfFaulty() {
+    if (!actionExpected && !commandLine.getArgList().isEmpty()) {
+      fault("'%s' is no flag. Flags start with '--'.".formatted(commandLine.getArgList().get(0)));
+    }
     if (!faults.isEmpty()) {
       throw new ToucanrackException(
           ErrorCode.INVALID_SETTINGS, "The settings are wrong:\n  " + String.join("\n  ", faults));
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/TableRecords.java
@@ -0,0 +1,107 @@
+package org.toucanrack.internal.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.id.OperationId;
+import org.toucanrack.internal.configuration.ReliableCommit;
+import org.toucanrack.platform.Platform;
+import org.toucanrack.platform.Row;
+import org.toucanrack.platform.TableService;
+import org.toucanrack.platform.Transaction;
+import org.toucanrack.platform.Transaction.Condition;
+import org.toucanrack.platform.Transaction.Write;
+
+/**
+ * Blocking access to single JSON rows of the table service, for commands. Thread-safe.
+ *
+ * <p>Each written row has a field {@code operationId}, by which a lost answer is resolved. Writers
+ * of later versions of the row keep that field.
+ */
+final class TableRecords {
+
+  static final ObjectMapper JSON = new ObjectMapper();
+
+  private static final String OPERATION_FIELD = "operationId";
+
+  private final TableService tables;
+  private final ReliableCommit commits;
+
+  TableRecords(Platform platform) {
+    this.tables = platform.tables();
+    this.commits = new ReliableCommit(tables, Pause::millis);
+  }
+
+  Optional<Row> read(String key) {
+    return commits.repeat("read " + key, () -> tables.get(key)).orThrow();
+  }
+
+  List<Row> list(String prefix) {
+    return commits.repeat("list " + prefix, () -> tables.list(prefix)).orThrow();
+  }
+
+  private void commit(Transaction transaction, String key, Predicate<Optional<Row>> committed) {
+    try {
+      commits.commit(transaction, key, committed);
+    } catch (ToucanrackException e) {
+      if (e.code() != ErrorCode.CONFLICT) {
+        throw e;
+      }
+      throw new ToucanrackException(
+          ErrorCode.CONFLICT,
+          "Another change of '%s' came first (%s). Run 'toucanrack status' and try again."
+              .formatted(key, e.getMessage()),
+          e);
+    }
+  }
+
+  /** Creates or replaces a row, on the condition that it is still as it was read. */
+  void write(String key, Optional<Row> before, ObjectNode value) {
+    OperationId operation = VersionSequence.newOperation();
+    String text = value.put(OPERATION_FIELD, operation.value()).toString();
+    commit(
+        new Transaction(
+            operation, List.of(condition(key, before)), List.of(new Write(key, Optional.of(text)))),
+        key,
+        row -> row.map(found -> wroteLast(found, operation)).orElse(false));
+  }
+
+  /** Deletes a row, on the condition that it is still as it was read. */
+  void delete(Row before) {
+    commit(
+        new Transaction(
+            VersionSequence.newOperation(),
+            List.of(new Condition(before.key(), before.version())),
+            List.of(new Write(before.key(), Optional.empty()))),
+        before.key(),
+        Optional::isEmpty);
+  }
+
+  static ObjectNode parse(Row row) {
+    try {
+      if (JSON.readTree(row.value()) instanceof ObjectNode node) {
+        return node;
+      }
+    } catch (JsonProcessingException e) {
+      // Reported below, as for rows that are no JSON objects.
+    }
+    throw new ToucanrackException(
+        ErrorCode.INTERNAL,
+        "The row '%s' is not a JSON object. Use the release that wrote it.".formatted(row.key()));
+  }
+
+  private static Condition condition(String key, Optional<Row> before) {
+    return new Condition(key, before.map(Row::version).orElse(0L));
+  }
+
+  private static boolean wroteLast(Row row, OperationId operation) {
+    JsonNode last = parse(row).path(OPERATION_FIELD);
+    return last.asText().equals(operation.value());
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/VersionSequence.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/VersionSequence.java
@@ -2,44 +2,55 @@
 
 import java.util.Optional;
 import java.util.UUID;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
 import org.toucanrack.configuration.Configuration;
 import org.toucanrack.id.OperationId;
 import org.toucanrack.internal.configuration.ConfigurationStore;
 import org.toucanrack.internal.configuration.CurrentVersion;
 import org.toucanrack.internal.configuration.Publication;
+import org.toucanrack.internal.configuration.ReliableCommit;
+import org.toucanrack.internal.configuration.VersionRecord;
 import org.toucanrack.platform.Platform;
-import org.toucanrack.platform.StoreAnswer;
 
-/** Blocking access to the configuration store, for commands. Thread-safe. */
+/** Blocking access to the version sequence, for commands. Thread-safe. */
 final class VersionSequence {
 
   private final ConfigurationStore store;
+  private final ReliableCommit calls;
 
   VersionSequence(Platform platform) {
-    this.store =
-        new ConfigurationStore(platform.tables(), platform.objects(), VersionSequence::pause);
+    this.store = new ConfigurationStore(platform.tables(), platform.objects(), Pause::millis);
+    this.calls = new ReliableCommit(platform.tables(), Pause::millis);
   }
 
-  Optional<Configuration> current() {
-    StoreAnswer<Optional<CurrentVersion>> answer = store.current().toCompletableFuture().join();
-    return answer
+  Optional<VersionRecord> currentRecord() {
+    return calls
+        .repeat("read the current version", store::current)
         .orThrow()
-        .map(found -> store.body(found.record()).toCompletableFuture().join().orThrow());
+        .map(CurrentVersion::record);
+  }
+
+  Optional<Configuration> current() {
+    return currentRecord()
+        .map(record -> calls.repeat("read the body", () -> store.body(record)).orThrow());
+  }
+
+  /** Returns the current configuration, or throws if none was accepted yet. */
+  Configuration requireCurrent() {
+    return current()
+        .orElseThrow(
+            () ->
+                new ToucanrackException(
+                    ErrorCode.INVALID_CONFIGURATION,
+                    "No configuration was accepted yet. Run 'toucanrack apply' first."));
   }
 
   long publish(Publication publication) {
     return store.publish(publication);
   }
 
-  OperationId newOperation() {
+  static OperationId newOperation() {
     return new OperationId(UUID.randomUUID().toString());
   }
-
-  private static void pause(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationCodec.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationCodec.java
@@ -26,6 +26,7 @@
 import org.toucanrack.ErrorCode;
 import org.toucanrack.ToucanrackException;
 import org.toucanrack.configuration.Configuration;
+import org.toucanrack.configuration.Deployment;
 import org.toucanrack.configuration.Route;
 import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.CustomerId;
@@ -74,6 +75,11 @@
     }
   }
 
+  /** Returns a deployment as a tree, with the fields of the records in their order. */
+  static JsonNode tree(Deployment deployment) {
+    return MAPPER.valueToTree(deployment);
+  }
+
   private static ToucanrackException unreadable(String what, Exception cause) {
     return new ToucanrackException(
         ErrorCode.INVALID_CONFIGURATION,
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationStore.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationStore.java
@@ -27,18 +27,16 @@
   public static final String CURRENT_KEY = "configuration/current";
 
   private static final String VERSION_PREFIX = "configuration/version/";
-  private static final int MAX_ATTEMPTS = 5;
-  private static final long FIRST_PAUSE_MILLIS = 200;
 
   private final TableService tables;
   private final ObjectStore objects;
-  private final LongConsumer pauseMillis;
+  private final ReliableCommit commits;
 
   /** Creates a store; {@code pauseMillis} waits between attempts of {@link #publish}. */
   public ConfigurationStore(TableService tables, ObjectStore objects, LongConsumer pauseMillis) {
     this.tables = tables;
     this.objects = objects;
-    this.pauseMillis = pauseMillis;
+    this.commits = new ReliableCommit(tables, pauseMillis);
   }
 
   /** Reads which version is current; empty if none was accepted yet. */
@@ -75,7 +73,8 @@
   }
 
   private long requireCurrent(long basedOn) {
-    Optional<CurrentVersion> current = await("read the current version", this::current).orThrow();
+    Optional<CurrentVersion> current =
+        commits.repeat("read the current version", this::current).orThrow();
     long version = current.map(found -> found.record().version()).orElse(0L);
     if (version != basedOn) {
       throw conflict(basedOn, "version " + version + " is current");
@@ -84,102 +83,45 @@
   }
 
   private void storeBody(VersionRecord next, byte[] body) {
-    await("store the body", () -> objects.put(next.objectName(), body)).orThrow();
+    commits.repeat("store the body", () -> objects.put(next.objectName(), body)).orThrow();
   }
 
   private void commit(VersionRecord next, long rowVersion) {
-    Transaction transaction = transaction(next, rowVersion);
-    String reason = "";
-    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      pauseBefore(attempt);
-      StoreAnswer<Void> answer = join(tables.commit(transaction));
-      if (answer.isDone()) {
-        return;
-      }
-      if (answer instanceof StoreAnswer.Refused<Void> refused && attempt == 0) {
-        throw conflict(next.basedOn(), refused.reason());
-      }
-      if (wasWritten(next)) {
-        return;
-      }
-      reason = reason(answer);
-    }
-    throw unknownOutcome(next, reason);
-  }
-
-  /** Returns whether the version is written; throws if another one took its place. */
-  private boolean wasWritten(VersionRecord next) {
-    StoreAnswer<Optional<Row>> answer = join(tables.get(VERSION_PREFIX + next.version()));
-    if (!(answer instanceof StoreAnswer.Done<Optional<Row>> done) || done.value().isEmpty()) {
-      return false;
-    }
-    VersionRecord written = VersionRecord.decode(done.value().get().value());
-    if (written.operation().equals(next.operation())) {
-      return true;
-    }
-    throw conflict(
-        next.basedOn(), "version " + written.version() + " was written by " + written.writer());
-  }
-
-  private static Transaction transaction(VersionRecord next, long rowVersion) {
     String versionKey = VERSION_PREFIX + next.version();
     Optional<String> value = Optional.of(next.encode());
-    return new Transaction(
-        next.operation(),
-        List.of(new Condition(CURRENT_KEY, rowVersion), new Condition(versionKey, 0)),
-        List.of(new Write(CURRENT_KEY, value), new Write(versionKey, value)));
-  }
-
-  private <T> StoreAnswer<T> await(String what, Call<T> call) {
-    StoreAnswer<T> answer = new StoreAnswer.Unknown<>(what);
-    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      pauseBefore(attempt);
-      answer = join(call.start());
-      if (!(answer instanceof StoreAnswer.Unknown<T>)) {
-        return answer;
-      }
+    Transaction transaction =
+        new Transaction(
+            next.operation(),
+            List.of(new Condition(CURRENT_KEY, rowVersion), new Condition(versionKey, 0)),
+            List.of(new Write(CURRENT_KEY, value), new Write(versionKey, value)));
+    try {
+      commits.commit(transaction, versionKey, row -> isWritten(next, row));
+    } catch (ToucanrackException e) {
+      throw e.code() == ErrorCode.CONFLICT ? conflict(next.basedOn(), e.getMessage()) : e;
     }
-    return new StoreAnswer.Unknown<>(
-        "The platform did not answer (%s: %s). Nothing was changed; try again later."
-            .formatted(what, reason(answer)));
-  }
-
-  private interface Call<T> {
-    CompletionStage<StoreAnswer<T>> start();
   }
 
-  private void pauseBefore(int attempt) {
-    if (attempt > 0) {
-      pauseMillis.accept(FIRST_PAUSE_MILLIS << (attempt - 1));
+  /** Returns whether the row holds this version; throws if another one took its place. */
+  private static boolean isWritten(VersionRecord next, Optional<Row> row) {
+    Optional<VersionRecord> written = row.map(found -> VersionRecord.decode(found.value()));
+    if (written.isEmpty()) {
+      return false;
     }
-  }
-
-  private static <T> StoreAnswer<T> join(CompletionStage<StoreAnswer<T>> stage) {
-    return stage.toCompletableFuture().join();
-  }
-
-  private static String reason(StoreAnswer<?> answer) {
-    if (answer instanceof StoreAnswer.Unknown<?> unknown) {
-      return unknown.reason();
+    if (written.get().operation().equals(next.operation())) {
+      return true;
     }
-    return answer instanceof StoreAnswer.Refused<?> refused ? refused.reason() : "done";
+    throw new ToucanrackException(
+        ErrorCode.CONFLICT,
+        "version %d was written by %s".formatted(next.version(), written.get().writer()));
   }
 
   private static ToucanrackException conflict(long basedOn, String what) {
     return new ToucanrackException(
         ErrorCode.CONFLICT,
-        "The change is based on version %d, but %s. Run 'toucanrack plan' and apply again."
+        "The change is based on version %d, but %s. Run 'toucanrack plan' and try again."
             .formatted(basedOn, what));
   }
 
-  private static ToucanrackException unknownOutcome(VersionRecord next, String reason) {
-    return new ToucanrackException(
-        ErrorCode.OUTCOME_UNKNOWN,
-        ("Version %d may have been accepted; the platform did not answer (%s)."
-                + " Run 'toucanrack get' and look for operation %s.")
-            .formatted(next.version(), reason, next.operation()));
-  }
-
   private static Optional<CurrentVersion> decode(Optional<Row> row) {
     return row.map(
         found -> new CurrentVersion(VersionRecord.decode(found.value()), found.version()));
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/DeclaredKeys.java
@@ -0,0 +1,67 @@
+package org.toucanrack.internal.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.configuration.Configuration;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.Key;
+import org.toucanrack.id.CustomerId;
+
+/** Changes the granted keys of a configuration. Stateless and thread-safe. */
+public final class DeclaredKeys {
+
+  private DeclaredKeys() {}
+
+  /** Throws if a customer with keys is no longer declared. */
+  public static void checkCustomers(Optional<Configuration> current, Deployment declared) {
+    String orphans =
+        current.map(Configuration::keys).orElse(List.of()).stream()
+            .filter(key -> declared.customer(key.customer()).isEmpty())
+            .map(key -> "'%s' of customer '%s'".formatted(key.name(), key.customer()))
+            .collect(Collectors.joining(", "));
+    if (!orphans.isEmpty()) {
+      throw new ToucanrackException(
+          ErrorCode.INVALID_CONFIGURATION,
+          "The declared files no longer have the customers of these keys: %s.".formatted(orphans)
+              + " Withdraw the keys with 'toucanrack key withdraw', or keep the customers.");
+    }
+  }
+
+  /** Returns the keys with one more. */
+  public static List<Key> granted(Configuration current, Key key) {
+    if (current.deployment().customer(key.customer()).isEmpty()) {
+      throw wrong("There is no customer '%s'. Declare it first.".formatted(key.customer()));
+    }
+    if (key.customer().equals(ReservedNames.ANONYMOUS)) {
+      throw wrong("Customer 'anonymous' stands for open routes. Name another customer.");
+    }
+    if (current.keys().stream().anyMatch(other -> other.name().equals(key.name()))) {
+      throw wrong("There is a key '%s' already. Choose another name.".formatted(key.name()));
+    }
+    List<Key> keys = new ArrayList<>(current.keys());
+    keys.add(key);
+    return keys;
+  }
+
+  /** Returns the keys without one. */
+  public static List<Key> withdrawn(Configuration current, String name) {
+    List<Key> keys = current.keys().stream().filter(key -> !key.name().equals(name)).toList();
+    if (keys.size() == current.keys().size()) {
+      throw wrong("There is no key '%s'. Run 'toucanrack get' for the keys.".formatted(name));
+    }
+    return keys;
+  }
+
+  /** Returns the key of a secret. */
+  public static Key keyOf(String name, CustomerId customer, KeySecret secret) {
+    return new Key(PlainName.check("key", name), customer, secret.sha256());
+  }
+
+  private static ToucanrackException wrong(String message) {
+    return new ToucanrackException(ErrorCode.INVALID_CONFIGURATION, message);
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/DeploymentReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/DeploymentReader.java
@@ -47,15 +47,18 @@
           Section root = new Section(merged, "", faults);
           ServiceReader serviceReader = new ServiceReader(faults);
           final String name =
-              root.name("name", "kalahari", RegionId::new).map(RegionId::value).orElse("");
+              root.name("name", "kalahari", text -> PlainName.check("deployment", text)).orElse("");
           final List<Region> declaredRegions = regions(root);
           final List<RegionLink> links = links(root);
           serviceReader.read(root);
           final List<Customer> declaredCustomers = customers(root, serviceReader.hasOpenRoute());
           BackendServerReader servers =
               new BackendServerReader(faults, domains, serviceReader.services());
+          int reportsBefore = faults.reports();
           servers.read(root);
-          serviceReader.checkCarried(servers.servers());
+          if (faults.reports() == reportsBefore) {
+            serviceReader.checkCarried(servers.servers());
+          }
           Rules rules = rules(root);
           root.rejectUnknownFields();
           return () ->
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/Faults.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/Faults.java
@@ -20,6 +20,11 @@
     reports++;
   }
 
+  /** Returns how many faults were reported, to find out whether a part is free of them. */
+  int reports() {
+    return reports;
+  }
+
   /** Builds an item, or returns empty if reading it reported a fault. */
   <T> Optional<T> unlessFaulty(Supplier<Supplier<T>> reading) {
     int before = reports;
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/Section.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/Section.java
@@ -191,7 +191,8 @@
     }
     YamlNode node = mapping.fields().get(field);
     if (node instanceof YamlNode.Mapping child) {
-      return Optional.of(new Section(child, prefix() + "'" + field + "'", faults));
+      return Optional.of(
+          new Section(child, title.isEmpty() ? field : title + ", " + field, faults));
     }
     wrong(field, node, "a mapping of fields");
     return Optional.empty();
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/ServiceReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ServiceReader.java
@@ -182,13 +182,12 @@
   private void readVersions(Section service, ServiceId id) {
     Names<VersionId> names = new Names<>("version of service '" + id + "'");
     versionNames.put(id, names);
-    int carrying = 0;
-    for (Section section : service.sections("versions", "version")) {
-      Optional<ServiceVersion> version = version(section, id, names);
-      version.ifPresent(declaredVersions::add);
-      carrying += version.isPresent() && !version.get().isCandidate() ? 1 : 0;
-    }
-    if (carrying != 1) {
+    List<Section> sections = service.sections("versions", "version");
+    List<ServiceVersion> versions =
+        sections.stream().flatMap(section -> version(section, id, names).stream()).toList();
+    declaredVersions.addAll(versions);
+    long carrying = versions.stream().filter(version -> !version.isCandidate()).count();
+    if (carrying != 1 && versions.size() == sections.size()) {
       service.fault(
           "versions",
           "%d versions have no 'carryBy'. Exactly one, the one that carries the traffic now, must"
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/YamlReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/YamlReader.java
@@ -18,7 +18,9 @@
  */
 final class YamlReader {
 
-  private static final YAMLFactory FACTORY = new YAMLFactory();
+  // Words like 'yes' and 'on' stay texts, so that a flag written with them is reported.
+  private static final YAMLFactory FACTORY =
+      YAMLFactory.builder().enable(YAMLParser.Feature.PARSE_BOOLEAN_LIKE_WORDS_AS_STRINGS).build();
 
   private final String file;
   private final Faults faults;
