Let a VM advertise other addresses than it listens on

Cause: VMs behind address translation, and relays in tests, are reached by other addresses. Measured: module tests pass except the approval of the help text, which now has the two new flags and nothing else.

--- a/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
@@ -19,6 +19,16 @@
   static final Flag CALLERS_LISTEN = Flag.of("callers-listen", "IP:PORT", "Address for callers.");
   static final Flag OPERATORS_LISTEN =
       Flag.of("operators-listen", "IP:PORT", "Address for operators.");
+  static final Flag CALLERS_ADVERTISE =
+      Flag.of(
+          "callers-advertise",
+          "IP:PORT",
+          "Address that callers are told; by default the one listened on.");
+  static final Flag PEERS_ADVERTISE =
+      Flag.of(
+          "peers-advertise",
+          "IP:PORT",
+          "Address that other VMs are told; by default the one listened on.");
   static final Flag PEERS_LISTEN = Flag.of("peers-listen", "IP:PORT", "Address for other VMs.");
   static final Flag PEERS =
       Flag.of("peers", "IP:PORT,...", "Peer addresses of other VMs to start with.");
@@ -51,6 +61,8 @@
         CALLERS_LISTEN,
         OPERATORS_LISTEN,
         PEERS_LISTEN,
+        CALLERS_ADVERTISE,
+        PEERS_ADVERTISE,
         CommonFlags.PLATFORM,
         PEERS,
         TRAFFIC_THREADS,
@@ -72,6 +84,8 @@
     Optional<InetSocketAddress> callers = address(settings, CALLERS_LISTEN);
     Optional<InetSocketAddress> operators = address(settings, OPERATORS_LISTEN);
     Optional<InetSocketAddress> peers = address(settings, PEERS_LISTEN);
+    Optional<InetSocketAddress> callersTold = optionalAddress(settings, CALLERS_ADVERTISE);
+    Optional<InetSocketAddress> peersTold = optionalAddress(settings, PEERS_ADVERTISE);
     List<java.net.URI> platform = settings.addresses(CommonFlags.PLATFORM);
     List<InetSocketAddress> initialPeers =
         settings.list(PEERS).stream()
@@ -88,6 +102,8 @@
         callers.orElseThrow(),
         operators.orElseThrow(),
         peers.orElseThrow(),
+        callersTold.or(() -> callers).orElseThrow(),
+        peersTold.or(() -> peers).orElseThrow(),
         platform,
         initialPeers,
         threads,
@@ -96,6 +112,10 @@
         settings.optional(OPERATOR_TOKEN));
   }
 
+  private static Optional<InetSocketAddress> optionalAddress(Settings settings, Flag flag) {
+    return settings.optional(flag).flatMap(text -> SocketAddresses.parse(settings, flag, text));
+  }
+
   private static Optional<InetSocketAddress> address(Settings settings, Flag flag) {
     String text = settings.required(flag);
     return text.isEmpty() ? Optional.empty() : SocketAddresses.parse(settings, flag, text);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
@@ -53,7 +53,9 @@
     this.settings = settings;
     Member self = describe(settings);
     platform = new HttpPlatform(settings.platform());
-    peers = new NettyPeerTransport(new PeerSettings(self, settings.peerSecret(), limits()));
+    peers =
+        new NettyPeerTransport(
+            new PeerSettings(self, settings.peersListen(), settings.peerSecret(), limits()));
     LongPredicate permits = now -> currentSnapshot().lease().permitsDispatch(now);
     dispatchers = new ServiceDispatchers(permits);
     PeerTokens tokens = new PeerTokens(peers, this::currentSnapshot);
@@ -165,8 +167,8 @@
     return new Member(
         new Incarnation(settings.vm(), number),
         settings.failureDomain(),
-        text(settings.callersListen()),
-        text(settings.peersListen()),
+        text(settings.callersAdvertise()),
+        text(settings.peersAdvertise()),
         false);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/ServeSettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/ServeSettings.java
@@ -17,6 +17,8 @@
  * @param callersListen address for callers
  * @param operatorsListen address for operators
  * @param peersListen address for other VMs
+ * @param callersAdvertise address that look-up answers give to callers
+ * @param peersAdvertise address that other VMs are told
  * @param platform addresses of the platform, at least one, tried in order
  * @param peers peer addresses of other VMs to start with
  * @param trafficThreads threads for traffic, at least 1
@@ -31,6 +33,8 @@
     InetSocketAddress callersListen,
     InetSocketAddress operatorsListen,
     InetSocketAddress peersListen,
+    InetSocketAddress callersAdvertise,
+    InetSocketAddress peersAdvertise,
     List<URI> platform,
     List<InetSocketAddress> peers,
     int trafficThreads,
