Add the load and measurement tool, and scripts that start a deployment

Ruled out: the JDK HTTP client for load, since it repeats requests on its own. Interposing links between entry VMs, since a VM announces the address it listens on; the cut scenario uses one platform address for each failure domain instead. Change: `bench layout|demo|measure|latency`, bin/demo, bin/measure, XChart for the plot; backend servers can become unreachable and tell how long after the start of a drain they still started requests; a reset leaves them warm.

--- a/bench/src/main/java/org/toucanrack/bench/Bench.java
+++ b/bench/src/main/java/org/toucanrack/bench/Bench.java
@@ -1,13 +1,50 @@
 package org.toucanrack.bench;
 
+import java.nio.file.Path;
+import java.util.Arrays;
+import org.apache.commons.cli.ParseException;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.bench.demo.DemoCommand;
+import org.toucanrack.bench.latency.LatencyCommand;
+import org.toucanrack.bench.layout.Layout;
+import org.toucanrack.bench.measure.MeasureCommand;
+
 /** The main class of the load and measurement tool. */
 public final class Bench {
 
+  private static final String USAGE = "usage: bench layout|demo|measure|latency OPTIONS";
+  private static final int WRONG_USAGE = 2;
+
   private Bench() {}
 
-  /** Runs one measurement. */
-  public static void main(String[] arguments) {
-    System.err.println("bench: no measurement given");
-    System.exit(2);
+  /** Runs one subcommand. */
+  public static void main(String[] arguments) throws Exception {
+    System.setProperty("logback.configurationFile", "standin-logback.xml");
+    System.setProperty("java.awt.headless", "true");
+    System.exit(run(arguments));
+  }
+
+  private static int run(String[] arguments) throws Exception {
+    try {
+      if (arguments.length == 0) {
+        throw new ParseException(USAGE);
+      }
+      Arguments rest = new Arguments(Arrays.copyOfRange(arguments, 1, arguments.length));
+      return switch (arguments[0]) {
+        case "layout" -> layout(rest);
+        case "demo" -> DemoCommand.run(rest);
+        case "measure" -> MeasureCommand.run(rest);
+        case "latency" -> LatencyCommand.run(rest);
+        default -> throw new ParseException(USAGE);
+      };
+    } catch (ParseException | IllegalArgumentException | ToucanrackException e) {
+      System.err.println("bench: " + e.getMessage());
+      return WRONG_USAGE;
+    }
+  }
+
+  private static int layout(Arguments arguments) {
+    System.out.print(Layout.read(Path.of(arguments.required("file"))).describe());
+    return 0;
   }
 }
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/layout/Layout.java
@@ -0,0 +1,167 @@
+package org.toucanrack.bench.layout;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.configuration.Customer;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.Region;
+import org.toucanrack.configuration.Service;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.internal.configuration.ConfigurationDirectory;
+
+/**
+ * The processes of a declared deployment on one machine: entry VMs, backend servers, platform.
+ * Immutable.
+ */
+public final class Layout {
+
+  /** Offset of the ports of each deployment after the first, in the order of {@link #NAMES}. */
+  private static final int PORTS_PER_DEPLOYMENT = 500;
+
+  private static final List<String> NAMES = List.of("kalahari", "saha");
+  private static final int ENTRY_VMS = 8;
+  private static final int CALLERS_PORT = 18001;
+  private static final int OPERATORS_PORT = 18101;
+  private static final int PEERS_PORT = 18201;
+  private static final int PLATFORM_PORT = 19000;
+
+  /** Requests on open routes are accounted to this customer. */
+  public static final String ANONYMOUS = "anonymous";
+
+  /** One entry VM. */
+  public record Entry(
+      String name,
+      String region,
+      String failureDomain,
+      String callers,
+      String operators,
+      String peers,
+      String platform) {}
+
+  private final Deployment deployment;
+  private final int offset;
+
+  private Layout(Deployment deployment) {
+    this.deployment = deployment;
+    this.offset = Math.max(0, NAMES.indexOf(deployment.name())) * PORTS_PER_DEPLOYMENT;
+  }
+
+  /** Reads a declared deployment. */
+  public static Layout read(Path directory) {
+    return new Layout(ConfigurationDirectory.read(directory));
+  }
+
+  /** Returns what is declared. */
+  public Deployment deployment() {
+    return deployment;
+  }
+
+  /** Returns the entry VMs: one in each failure domain, the rest from the first domains on. */
+  public List<Entry> entries() {
+    List<FailureDomainId> domains = deployment.failureDomains();
+    List<Entry> entries = new ArrayList<>();
+    for (int i = 0; i < ENTRY_VMS; i++) {
+      // The extra VMs go to the first domain of each region in turn, so regions stay balanced.
+      int place = i < domains.size() ? i : (i - domains.size()) * 2 % domains.size();
+      FailureDomainId domain = domains.get(place);
+      entries.add(
+          new Entry(
+              domain.value() + "-" + (i / domains.size() + 1),
+              deployment.regionOf(domain).orElseThrow().value(),
+              domain.value(),
+              local(CALLERS_PORT + i),
+              local(OPERATORS_PORT + i),
+              local(PEERS_PORT + i),
+              "http://" + platformOf(place)));
+    }
+    return entries;
+  }
+
+  /**
+   * Returns the platform's addresses. The first is for operators; each failure domain has one of
+   * its own, so that the platform can refuse one domain.
+   */
+  public List<String> platform() {
+    List<String> addresses = new ArrayList<>(List.of(local(PLATFORM_PORT)));
+    for (int i = 0; i < deployment.failureDomains().size(); i++) {
+      addresses.add(platformOf(i));
+    }
+    return addresses;
+  }
+
+  private String platformOf(int domainPlace) {
+    return local(PLATFORM_PORT + 1 + domainPlace);
+  }
+
+  /** Returns the backend servers of each service. */
+  public Map<String, List<BackendServer>> backends() {
+    return deployment.backendServers().stream()
+        .collect(
+            Collectors.groupingBy(
+                server -> server.service().value(), LinkedHashMap::new, Collectors.toList()));
+  }
+
+  /** Returns the customers that have keys. */
+  public List<Customer> keyedCustomers() {
+    return deployment.customers().stream()
+        .filter(customer -> !customer.id().value().equals(ANONYMOUS))
+        .toList();
+  }
+
+  /** Returns the median service time of a service's backend servers. */
+  public double serviceMillis(Service service) {
+    boolean writes = service.routes().stream().anyMatch(route -> !route.idempotent());
+    return writes ? 30 : 20;
+  }
+
+  /** Returns the address of a backend server. */
+  public static String address(BackendServer server) {
+    return server.host() + ":" + server.port();
+  }
+
+  /** Prints one line for each process, for the scripts that start them. */
+  public String describe() {
+    StringBuilder lines = new StringBuilder();
+    lines.append("platform ").append(String.join(",", platform())).append('\n');
+    for (Service service : deployment.services()) {
+      List<BackendServer> servers = backends().getOrDefault(service.id().value(), List.of());
+      BackendServer first = servers.get(0);
+      lines.append(
+          "backend %s %s %d %d lognormal:%s:0.4%n"
+              .formatted(
+                  service.id().value(),
+                  servers.stream().map(Layout::address).collect(Collectors.joining(",")),
+                  first.slots(),
+                  first.maxConnections(),
+                  serviceMillis(service)));
+    }
+    for (Entry entry : entries()) {
+      lines.append(
+          "entry %s %s %s %s %s %s %s%n"
+              .formatted(
+                  entry.name(),
+                  entry.region(),
+                  entry.failureDomain(),
+                  entry.callers(),
+                  entry.operators(),
+                  entry.peers(),
+                  entry.platform()));
+    }
+    keyedCustomers().forEach(c -> lines.append("customer ").append(c.id().value()).append('\n'));
+    return lines.toString();
+  }
+
+  /** Returns the regions in declared order. */
+  public List<Region> regions() {
+    return deployment.regions();
+  }
+
+  private String local(int port) {
+    return "127.0.0.1:" + (port + offset);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/load/Answer.java
@@ -0,0 +1,37 @@
+package org.toucanrack.bench.load;
+
+/**
+ * The answer to one attempt.
+ *
+ * @param status status code; 0 if there was no complete answer
+ * @param verdict {@code ran}, {@code not-run} or {@code may-have-run}
+ * @param body the body, or the reason for a missing answer
+ */
+public record Answer(int status, String verdict, String body) {
+
+  static final String RAN = "ran";
+  static final String NOT_RUN = "not-run";
+  static final String MAY_HAVE_RUN = "may-have-run";
+  private static final int SERVER_ERROR = 500;
+
+  /** Returns whether the request did certainly not run. */
+  public boolean isNotRun() {
+    return NOT_RUN.equals(verdict);
+  }
+
+  /** Returns whether no connection could be made. */
+  public boolean isUnreachable() {
+    return status == 0 && isNotRun();
+  }
+
+  /** Returns the outcome if this is the last attempt. */
+  public Outcome outcome() {
+    if (isNotRun()) {
+      return Outcome.REFUSED;
+    }
+    if (!RAN.equals(verdict)) {
+      return Outcome.UNKNOWN;
+    }
+    return status >= SERVER_ERROR ? Outcome.FAILED : Outcome.ANSWERED;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/load/BaselineCaller.java
@@ -0,0 +1,110 @@
+package org.toucanrack.bench.load;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.toucanrack.bench.layout.Layout;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.configuration.Customer;
+
+/**
+ * The baseline: round robin over backend servers, a local limiter of the rate divided by the number
+ * of VMs, and up to three blind retries. It stands for as many proxies as there are entry VMs, runs
+ * in this process and adds no network hop, which favours it.
+ */
+public final class BaselineCaller implements Caller {
+
+  private static final int BLIND_RETRIES = 3;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVER_ERROR = 500;
+
+  /** One proxy. */
+  private static final class Proxy {
+    private final Map<String, TokenBucket> buckets = new HashMap<>();
+    private final Map<String, Integer> next = new HashMap<>();
+  }
+
+  private final LoadClient client;
+  private final Map<String, List<String>> servers = new HashMap<>();
+  private final List<Proxy> proxies = new ArrayList<>();
+  private final Random random;
+  private final LongSupplier nanoTime;
+
+  /** Creates a baseline of as many proxies as the layout has entry VMs. */
+  public BaselineCaller(Layout layout, LoadClient client, long seed, LongSupplier nanoTime) {
+    this.client = client;
+    this.random = new Random(seed);
+    this.nanoTime = nanoTime;
+    for (Map.Entry<String, List<BackendServer>> service : layout.backends().entrySet()) {
+      servers.put(service.getKey(), service.getValue().stream().map(Layout::address).toList());
+    }
+    int count = layout.entries().size();
+    for (int i = 0; i < count; i++) {
+      Proxy proxy = new Proxy();
+      for (Customer customer : layout.deployment().customers()) {
+        proxy.buckets.put(
+            customer.id().value(),
+            new TokenBucket(
+                customer.requestsPerSecond() / count,
+                Math.max(1, customer.burst() / count),
+                nanoTime.getAsLong()));
+      }
+      proxies.add(proxy);
+    }
+  }
+
+  /** Removes the last proxies, as if their VMs were killed. */
+  public synchronized void remove(int count) {
+    for (int i = 0; i < count && proxies.size() > 1; i++) {
+      proxies.remove(proxies.size() - 1);
+    }
+  }
+
+  @Override
+  public CompletableFuture<Result> send(PlannedRequest request) {
+    Proxy proxy;
+    synchronized (this) {
+      proxy = proxies.get(random.nextInt(proxies.size()));
+      if (!proxy.buckets.get(request.customer()).take(nanoTime.getAsLong())) {
+        return CompletableFuture.completedFuture(
+            new Result(Outcome.REFUSED, TOO_MANY_REQUESTS, "RATE_EXCEEDED", "baseline"));
+      }
+    }
+    return attempt(proxy, request, BLIND_RETRIES, false);
+  }
+
+  private CompletableFuture<Result> attempt(
+      Proxy proxy, PlannedRequest request, int retries, boolean mayHaveRun) {
+    String server = nextServer(proxy, request.service());
+    return client
+        .send(
+            request.method(),
+            server,
+            request.target(),
+            Map.of("X-Caller-Request-Id", request.id(), "Toucanrack-Customer", request.customer()))
+        .thenCompose(
+            answer -> {
+              boolean failed = answer.status() == 0 || answer.status() >= SERVER_ERROR;
+              boolean ranMaybe = mayHaveRun || !answer.isNotRun();
+              if (failed && retries > 0) {
+                return attempt(proxy, request, retries - 1, ranMaybe);
+              }
+              Outcome outcome = answer.outcome();
+              if (outcome == Outcome.REFUSED && mayHaveRun) {
+                outcome = Outcome.UNKNOWN;
+              }
+              return CompletableFuture.completedFuture(
+                  new Result(outcome, answer.status(), "", server));
+            });
+  }
+
+  private synchronized String nextServer(Proxy proxy, String service) {
+    List<String> candidates = servers.get(service);
+    int place = proxy.next.merge(service, 1, Integer::sum);
+    return candidates.get(place % candidates.size());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/load/SteeredCaller.java
@@ -0,0 +1,174 @@
+package org.toucanrack.bench.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A caller of entry VMs as their contract asks: it caches look-up answers for their time to live,
+ * sends orders with tickets, and tries another entry only if the request did not run, may be
+ * repeated, or has a ticket. Thread-safe.
+ */
+public final class SteeredCaller implements Caller {
+
+  private static final int ATTEMPTS = 3;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** A cached look-up answer. */
+  private record LookUp(List<String> entries, long expiresNanos) {}
+
+  /** A request with what its attempts share. */
+  private record Call(
+      PlannedRequest request, List<String> entries, String ticket, boolean mayHaveRun) {}
+
+  private final LoadClient client;
+  private final List<String> bootstrap;
+  private final Map<String, String> keys;
+  private final Map<String, Integer> places = new HashMap<>();
+  private final Map<String, CompletableFuture<LookUp>> lookUps = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a caller.
+   *
+   * @param bootstrap addresses of entry VMs that callers know from the start
+   * @param keys the key of each customer
+   */
+  public SteeredCaller(LoadClient client, List<String> bootstrap, Map<String, String> keys) {
+    this.client = client;
+    this.bootstrap = List.copyOf(bootstrap);
+    this.keys = Map.copyOf(keys);
+    keys.keySet().stream().sorted().forEach(customer -> places.put(customer, places.size()));
+  }
+
+  @Override
+  public CompletableFuture<Result> send(PlannedRequest request) {
+    CompletableFuture<LookUp> lookUp = lookUp(request);
+    if (request.idempotent()) {
+      return lookUp.thenCompose(
+          found -> attempt(new Call(request, found.entries(), null, false), 0));
+    }
+    return lookUp.thenCompose(
+        found ->
+            ticket(request, found.entries(), 0)
+                .thenCompose(
+                    ticket -> attempt(new Call(request, found.entries(), ticket, false), 0)));
+  }
+
+  private CompletableFuture<Result> attempt(Call call, int attempt) {
+    String entry = call.entries().get(attempt % call.entries().size());
+    PlannedRequest request = call.request();
+    return client
+        .send(request.method(), entry, request.target(), headers(request, call.ticket()))
+        .thenCompose(answer -> next(call, attempt, entry, answer));
+  }
+
+  private CompletableFuture<Result> next(Call call, int attempt, String entry, Answer answer) {
+    boolean mayHaveRun = call.mayHaveRun() || !answer.isNotRun();
+    boolean repeatable = call.request().idempotent() || call.ticket() != null;
+    boolean lost = answer.status() == 0 && (repeatable || !mayHaveRun);
+    if (lost && attempt + 1 < ATTEMPTS) {
+      lookUps.remove(cacheKey(call.request()));
+      Call repeated = new Call(call.request(), call.entries(), call.ticket(), mayHaveRun);
+      return attempt(repeated, attempt + 1);
+    }
+    Outcome outcome = answer.outcome();
+    // "Not run" is about the last attempt only; an earlier one without an answer may have run.
+    if (outcome == Outcome.REFUSED && call.mayHaveRun()) {
+      outcome = Outcome.UNKNOWN;
+    }
+    return CompletableFuture.completedFuture(
+        new Result(outcome, answer.status(), code(answer), entry));
+  }
+
+  private Map<String, String> headers(PlannedRequest request, String ticket) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put("X-Caller-Request-Id", request.id());
+    if (!request.open()) {
+      headers.put("Authorization", "Bearer " + keys.get(request.customer()));
+    }
+    if (ticket != null) {
+      headers.put("Toucanrack-Ticket", ticket);
+    }
+    return headers;
+  }
+
+  private CompletableFuture<String> ticket(
+      PlannedRequest request, List<String> entries, int attempt) {
+    String entry = entries.get(attempt % entries.size());
+    return client
+        .send("GET", entry, lookUpTarget(request) + "&ticket=true", Map.of())
+        .thenCompose(
+            answer -> {
+              String ticket = parse(answer).path("ticket").asText(null);
+              return ticket == null && attempt + 1 < ATTEMPTS
+                  ? ticket(request, entries, attempt + 1)
+                  : CompletableFuture.completedFuture(ticket);
+            });
+  }
+
+  private CompletableFuture<LookUp> lookUp(PlannedRequest request) {
+    return lookUps.compute(
+        cacheKey(request),
+        (key, cached) -> {
+          if (cached != null && (!cached.isDone() || isFresh(cached.join()))) {
+            return cached;
+          }
+          int place = Math.floorMod(key.hashCode(), bootstrap.size());
+          return ask(request, place, 0);
+        });
+  }
+
+  private CompletableFuture<LookUp> ask(PlannedRequest request, int place, int attempt) {
+    String entry = bootstrap.get((place + attempt) % bootstrap.size());
+    return client
+        .send("GET", entry, lookUpTarget(request), Map.of())
+        .thenCompose(
+            answer -> {
+              JsonNode body = parse(answer);
+              List<String> entries = new ArrayList<>();
+              body.path("entries").forEach(node -> entries.add(node.asText()));
+              if (entries.isEmpty() && attempt + 1 < bootstrap.size()) {
+                return ask(request, place, attempt + 1);
+              }
+              long ttl = TimeUnit.SECONDS.toNanos(body.path("ttlSeconds").asLong(1));
+              return CompletableFuture.completedFuture(
+                  new LookUp(
+                      entries.isEmpty() ? bootstrap : List.copyOf(entries),
+                      System.nanoTime() + ttl));
+            });
+  }
+
+  private static boolean isFresh(LookUp lookUp) {
+    return System.nanoTime() - lookUp.expiresNanos() < 0;
+  }
+
+  private static String cacheKey(PlannedRequest request) {
+    return request.service() + " " + request.customer();
+  }
+
+  /** Each customer asks from a client address of its own. */
+  private String lookUpTarget(PlannedRequest request) {
+    int place = places.getOrDefault(request.customer(), 0);
+    return "/_toucanrack/lookup?service=" + request.service() + "&client=10.0." + place + ".1";
+  }
+
+  private static String code(Answer answer) {
+    return answer.outcome() == Outcome.ANSWERED ? "" : parse(answer).path("code").asText("");
+  }
+
+  private static JsonNode parse(Answer answer) {
+    try {
+      JsonNode node = JSON.readTree(answer.body());
+      return node == null ? JSON.createObjectNode() : node;
+    } catch (IOException e) {
+      return JSON.createObjectNode();
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/measure/TestBed.java
@@ -0,0 +1,83 @@
+package org.toucanrack.bench.measure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.toucanrack.bench.layout.Layout;
+import org.toucanrack.bench.load.Answer;
+import org.toucanrack.bench.load.LoadClient;
+import org.toucanrack.bench.result.BackendTruth;
+import org.toucanrack.configuration.BackendServer;
+
+/** Controls the stand-ins of a running deployment. */
+public final class TestBed {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int OK = 200;
+
+  private final Layout layout;
+  private final LoadClient client;
+
+  /** Creates controls of the deployment's stand-ins. */
+  public TestBed(Layout layout, LoadClient client) {
+    this.layout = layout;
+    this.client = client;
+  }
+
+  /** Returns the layout. */
+  public Layout layout() {
+    return layout;
+  }
+
+  /** Forgets all records and faults of the backend servers. */
+  public void resetBackends() {
+    servers().forEach(server -> require(client.post(server, "/reset", "{}").join(), server));
+  }
+
+  /** Sends control to all backend servers of a service. */
+  public void controlService(String service, String body) {
+    for (BackendServer server : layout.backends().get(service)) {
+      control(Layout.address(server), body);
+    }
+  }
+
+  /** Sends control to one backend server. */
+  public void control(String server, String body) {
+    require(client.post(server, "/control", body).join(), server);
+  }
+
+  /** Sets faults of the platform. */
+  public void platformFault(String body) {
+    String platform = layout.platform().get(0);
+    require(client.post(platform, "/fault", body).join(), platform);
+  }
+
+  /** Returns what the backend servers recorded. */
+  public BackendTruth truth() {
+    return BackendTruth.read(client, servers());
+  }
+
+  /** Returns how long after its drain began a server still started requests; negative if never. */
+  public long drainMillis(String server) {
+    Answer answer = client.send("GET", server, "/ran", Map.of()).join();
+    try {
+      JsonNode node = JSON.readTree(answer.body());
+      return node.path("lastStartAfterDrainMillis").asLong(-1);
+    } catch (IOException e) {
+      throw new IllegalStateException("no record of " + server, e);
+    }
+  }
+
+  private List<String> servers() {
+    return layout.deployment().backendServers().stream().map(Layout::address).toList();
+  }
+
+  private static void require(Answer answer, String server) {
+    if (answer.status() != OK) {
+      throw new IllegalStateException(
+          server + " answered " + answer.status() + " " + answer.body() + "; is it running?");
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/result/Recorder.java
@@ -0,0 +1,90 @@
+package org.toucanrack.bench.result;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.toucanrack.bench.load.Caller;
+import org.toucanrack.bench.load.Outcome;
+import org.toucanrack.bench.load.PlannedRequest;
+
+/** Records the outcome of every request of a run. Thread-safe while the run is on. */
+public final class Recorder {
+
+  private final Series all = new Series();
+  private final Map<String, Series> byRoute = new TreeMap<>();
+  private final Map<String, Series> byCustomer = new TreeMap<>();
+  private final Map<String, Integer> rejections = new TreeMap<>();
+  private final Set<String> notRunIds = new HashSet<>();
+  private final Set<String> answeredIds = new HashSet<>();
+  private int unfinished;
+
+  /** Records one request. */
+  public synchronized void record(PlannedRequest request, Caller.Result result, long latencyNanos) {
+    Outcome outcome = result.outcome();
+    boolean within = request.withinRate();
+    all.record(outcome, within, latencyNanos);
+    byRoute
+        .computeIfAbsent(request.routeName(), key -> new Series())
+        .record(outcome, within, latencyNanos);
+    byCustomer
+        .computeIfAbsent(request.customer(), key -> new Series())
+        .record(outcome, within, latencyNanos);
+    if (outcome == Outcome.REFUSED) {
+      notRunIds.add(request.id());
+    }
+    if (outcome == Outcome.ANSWERED) {
+      answeredIds.add(request.id());
+    } else {
+      String code = result.code().isEmpty() ? "" : " " + result.code();
+      rejections.merge(outcome + " " + result.status() + code, 1, Integer::sum);
+    }
+  }
+
+  /** Records how many requests had no outcome at the end. */
+  public synchronized void recordUnfinished(int count) {
+    unfinished = count;
+  }
+
+  /** Returns the figures of all requests. */
+  public Series all() {
+    return all;
+  }
+
+  /** Returns the figures of each route. */
+  public Map<String, Series> byRoute() {
+    return byRoute;
+  }
+
+  /** Returns the figures of each customer. */
+  public Map<String, Series> byCustomer() {
+    return byCustomer;
+  }
+
+  /** Returns the number of requests that were not answered, by outcome, status and code. */
+  public Map<String, Integer> rejections() {
+    return rejections;
+  }
+
+  /** Returns the ids of requests whose callers were told that they did not run. */
+  public Set<String> notRunIds() {
+    return notRunIds;
+  }
+
+  /** Returns the ids of requests whose callers got an answer. */
+  public Set<String> answeredIds() {
+    return answeredIds;
+  }
+
+  /** Returns the number of requests without an outcome. */
+  public int unfinished() {
+    return unfinished;
+  }
+
+  /** Returns the served share of the worst-served customer, relative to the mean. */
+  public double worstServedShare() {
+    double mean = byCustomer.values().stream().mapToDouble(Series::servedShare).average().orElse(1);
+    double worst = byCustomer.values().stream().mapToDouble(Series::servedShare).min().orElse(1);
+    return mean == 0 ? 0 : worst / mean;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/result/Series.java
@@ -0,0 +1,78 @@
+package org.toucanrack.bench.result;
+
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.toucanrack.bench.load.Outcome;
+
+/** Counts and latencies of one group of requests. Guarded by its recorder. */
+public final class Series {
+
+  private static final long GREATEST_MICROS = TimeUnit.MINUTES.toMicros(2);
+  private static final int DIGITS = 3;
+  private static final double MICROS_PER_MILLI = 1000;
+
+  private final Histogram latency = new Histogram(GREATEST_MICROS, DIGITS);
+  private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
+  private long withinRate;
+  private long refusedWithinRate;
+
+  void record(Outcome outcome, boolean within, long latencyNanos) {
+    outcomes.merge(outcome, 1L, Long::sum);
+    if (within) {
+      withinRate++;
+      refusedWithinRate += outcome == Outcome.REFUSED ? 1 : 0;
+    }
+    if (outcome == Outcome.ANSWERED) {
+      long micros = Math.max(0, TimeUnit.NANOSECONDS.toMicros(latencyNanos));
+      latency.recordValue(Math.min(GREATEST_MICROS, micros));
+    }
+  }
+
+  /** Returns the number of requests with an outcome. */
+  public long count(Outcome outcome) {
+    return outcomes.getOrDefault(outcome, 0L);
+  }
+
+  /** Returns the number of all requests. */
+  public long sent() {
+    return outcomes.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  /** Returns the number of requests within the customer's rate. */
+  public long withinRate() {
+    return withinRate;
+  }
+
+  /** Returns the number of requests refused although within the customer's rate. */
+  public long refusedWithinRate() {
+    return refusedWithinRate;
+  }
+
+  /** Returns the answered share of what the customer is entitled to, at most 1. */
+  public double servedShare() {
+    return withinRate == 0 ? 1 : Math.min(1.0, (double) count(Outcome.ANSWERED) / withinRate);
+  }
+
+  /** Returns a latency percentile in milliseconds. */
+  public double millisAt(double percentile) {
+    return latency.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+  }
+
+  /** Returns all figures for the JSON result. */
+  public Map<String, Object> describe() {
+    Map<String, Object> figures = new LinkedHashMap<>();
+    figures.put("sent", sent());
+    for (Outcome outcome : Outcome.values()) {
+      figures.put(outcome.name().toLowerCase(java.util.Locale.ROOT), count(outcome));
+    }
+    figures.put("withinRate", withinRate);
+    figures.put("refusedWithinRate", refusedWithinRate);
+    figures.put("p50Millis", millisAt(50));
+    figures.put("p99Millis", millisAt(99));
+    figures.put("p999Millis", millisAt(99.9));
+    return figures;
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/toucanrack/bench/load/OpenLoopTest.java
@@ -0,0 +1,43 @@
+package org.toucanrack.bench.load;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.bench.result.Recorder;
+
+/** Guards against coordinated omission. */
+class OpenLoopTest {
+
+  private static final int STALL_MILLIS = 100;
+
+  @Test
+  void stallCountsForRequestsThatWereDueMeanwhile() throws InterruptedException {
+    Recorder recorder = new Recorder();
+    Caller stallsOnFirst =
+        request -> {
+          if (request.id().equals("a")) {
+            stall();
+          }
+          return CompletableFuture.completedFuture(
+              new Caller.Result(Outcome.ANSWERED, 200, "", ""));
+        };
+
+    new OpenLoop(stallsOnFirst, recorder).run(List.of(request("a"), request("b")));
+
+    assertTrue(recorder.all().millisAt(0) >= STALL_MILLIS);
+  }
+
+  private static PlannedRequest request(String id) {
+    return new PlannedRequest(id, 0, "c", "s", "r", "GET", "/", true, false, true);
+  }
+
+  private static void stall() {
+    try {
+      Thread.sleep(STALL_MILLIS);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/toucanrack/bench/result/BackendTruthTest.java
@@ -0,0 +1,31 @@
+package org.toucanrack.bench.result;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a judge that overlooks duplicates or false verdicts. */
+class BackendTruthTest {
+
+  private final BackendTruth truth =
+      new BackendTruth(
+          Map.of("order-1", 2, "order-2", 1), Map.of("read-1", 3), Map.of(), 0, false, List.of());
+
+  @Test
+  void onlyWritesThatRanTwiceAreDuplicates() {
+    assertEquals(1, truth.duplicates());
+  }
+
+  @Test
+  void notRunThatRanIsFalse() {
+    assertEquals(2, truth.falseNotRun(Set.of("order-2", "read-1", "other")));
+  }
+
+  @Test
+  void answerWithoutRunIsFound() {
+    assertEquals(1, truth.answeredWithoutRun(Set.of("order-1", "other")));
+  }
+}
--- a/standin/src/main/java/org/toucanrack/standin/backend/BackendServer.java
+++ b/standin/src/main/java/org/toucanrack/standin/backend/BackendServer.java
@@ -34,6 +34,7 @@
   private static final String CANCEL = "/cancel/";
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final long CANCELLED_ID_MEMORY_MILLIS = 30_000;
+  private static final long ANSWER_MILLIS = 20;
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final NioReactor reactor;
@@ -41,7 +42,7 @@
   private final long seed;
   private final String name;
   private final Connections connections = new Connections();
-  private final HttpServer server;
+  private HttpServer server;
   private final Map<String, Execution> executions = new HashMap<>();
   private final Map<String, Long> cancelledIds = new LinkedHashMap<>();
   private BackendState state;
@@ -54,14 +55,17 @@
     this.seed = seed;
     this.name = address.getHostString() + ":" + address.getPort();
     this.state = new BackendState(settings, seed, now());
-    this.server =
-        HttpServer.builder(reactor, this)
-            .withListenAddress(address)
-            .withSocketInspector(connections)
-            .withAcceptFilter(
-                (channel, local, remote, ssl) -> connections.open() >= settings.maxConnections())
-            .withMaxBodySize(MAX_BODY_BYTES)
-            .build();
+    this.server = httpServer(address);
+  }
+
+  private HttpServer httpServer(InetSocketAddress address) {
+    return HttpServer.builder(reactor, this)
+        .withListenAddress(address)
+        .withSocketInspector(connections)
+        .withAcceptFilter(
+            (channel, local, remote, ssl) -> connections.open() >= settings.maxConnections())
+        .withMaxBodySize(MAX_BODY_BYTES)
+        .build();
   }
 
   void listen() throws IOException {
@@ -82,10 +86,32 @@
 
   void apply(Control control) {
     state.apply(control, now());
+    if (control.unreachableMillis() != null) {
+      // After the answer to the control call itself.
+      reactor.delay(ANSWER_MILLIS, () -> beUnreachable(control.unreachableMillis()));
+    }
+  }
+
+  private void beUnreachable(long millis) {
+    InetSocketAddress address = server.getBoundAddresses().get(0);
+    server.close();
+    connections.resetAll();
+    server = httpServer(address);
+    reactor.delay(millis, this::listenAgain);
+  }
+
+  private void listenAgain() {
+    try {
+      server.listen();
+    } catch (IOException e) {
+      throw new IllegalStateException("backend server " + name + " cannot listen again", e);
+    }
   }
 
+  /** Forgets records and faults; the server is warm afterwards. */
   void reset() {
     state = new BackendState(settings, seed, now());
+    state.makeWarm(now());
     record = new RanRecord();
     cancelledIds.clear();
   }
@@ -95,6 +121,7 @@
     description.put("server", name);
     description.putAll(record.describe(withIds));
     description.put("running", state.running());
+    description.put("lastStartAfterDrainMillis", state.lastStartAfterDrainMillis());
     description.put("greatestConnections", connections.greatestOpen());
     return description;
   }
--- a/standin/src/main/java/org/toucanrack/standin/backend/BackendState.java
+++ b/standin/src/main/java/org/toucanrack/standin/backend/BackendState.java
@@ -22,6 +22,8 @@
   private int slots;
   private int running;
   private boolean draining;
+  private long drainStartMillis;
+  private long lastStartAfterDrainMillis = -1;
   private boolean down;
   private String healthSays = "";
   private double loadSays = -1;
@@ -41,6 +43,10 @@
   }
 
   void apply(Control control, long nowMillis) {
+    if (Boolean.TRUE.equals(control.draining()) && !draining) {
+      drainStartMillis = nowMillis;
+      lastStartAfterDrainMillis = 0;
+    }
     draining = control.draining() == null ? draining : control.draining();
     down = control.down() == null ? down : control.down();
     healthSays = control.healthSays() == null ? healthSays : control.healthSays();
@@ -63,6 +69,11 @@
     return draining;
   }
 
+  /** Returns the time from the start of the drain to the last start of a request, or -1. */
+  long lastStartAfterDrainMillis() {
+    return lastStartAfterDrainMillis;
+  }
+
   boolean down() {
     return down;
   }
@@ -77,6 +88,9 @@
       return false;
     }
     running++;
+    if (draining) {
+      lastStartAfterDrainMillis = nowMillis - drainStartMillis;
+    }
     report(nowMillis);
     return true;
   }
@@ -124,6 +138,11 @@
         || requestsSinceCold < cold.warmRequests();
   }
 
+  void makeWarm(long nowMillis) {
+    coldSinceMillis = nowMillis - settings.coldStart().warmMillis();
+    requestsSinceCold = settings.coldStart().warmRequests();
+  }
+
   private void makeCold(long nowMillis) {
     coldSinceMillis = nowMillis;
     requestsSinceCold = 0;
--- a/standin/src/main/java/org/toucanrack/standin/backend/Connections.java
+++ b/standin/src/main/java/org/toucanrack/standin/backend/Connections.java
@@ -19,13 +19,13 @@
  */
 final class Connections implements TcpSocket.Inspector {
 
+  private final Set<TcpSocket> all = new HashSet<>();
   private final Set<TcpSocket> fresh = new HashSet<>();
   private TcpSocket current;
-  private int open;
   private int greatestOpen;
 
   int open() {
-    return open;
+    return all.size();
   }
 
   int greatestOpen() {
@@ -41,6 +41,11 @@
     return fresh.remove(socket);
   }
 
+  /** Closes all connections so that their clients see resets. */
+  void resetAll() {
+    Set.copyOf(all).forEach(Connections::reset);
+  }
+
   /** Closes a connection so that the client sees a reset. */
   static void reset(TcpSocket socket) {
     try {
@@ -69,8 +74,8 @@
 
   @Override
   public void onConnect(TcpSocket socket) {
-    open++;
-    greatestOpen = Math.max(greatestOpen, open);
+    all.add(socket);
+    greatestOpen = Math.max(greatestOpen, all.size());
     fresh.add(socket);
   }
 
@@ -81,7 +86,7 @@
 
   @Override
   public void onDisconnect(TcpSocket socket) {
-    open--;
+    all.remove(socket);
     fresh.remove(socket);
   }
 
--- a/standin/src/main/java/org/toucanrack/standin/backend/Control.java
+++ b/standin/src/main/java/org/toucanrack/standin/backend/Control.java
@@ -11,6 +11,7 @@
  * @param loadSays what the load endpoint says regardless of the state; negative for the truth
  * @param slots a new number of slots
  * @param serviceTime a new distribution of service times
+ * @param unreachableMillis closes all connections and accepts none for this time
  * @param cold makes the server cold
  * @param faults replaces all fault rules
  */
@@ -21,5 +22,6 @@
     Double loadSays,
     Integer slots,
     String serviceTime,
+    Long unreachableMillis,
     Boolean cold,
     List<FaultRule> faults) {}
--- a/standin/src/main/java/org/toucanrack/standin/backend/RanRecord.java
+++ b/standin/src/main/java/org/toucanrack/standin/backend/RanRecord.java
@@ -8,8 +8,8 @@
 /** Records the requests that ran on one backend server. Confined to the event loop. */
 final class RanRecord {
 
-  /** Keys of callers start with {@code key-}. */
-  private static final Pattern KEY = Pattern.compile("(?<![A-Za-z0-9_-])key-");
+  /** Keys of callers start with {@code key-} or, as granted by toucanrack, {@code trk_}. */
+  private static final Pattern KEY = Pattern.compile("(?<![A-Za-z0-9_-])(key-|trk_)");
 
   /** A request that ran. */
   record Entry(String requestId, String callerId, String customer, boolean idempotent) {}
