--- a/bench/src/main/java/org/toucanrack/bench/result/Recorder.java
+++ b/bench/src/main/java/org/toucanrack/bench/result/Recorder.java
@@ -42,7 +42,7 @@
   }
 
   /** Records how many requests had no outcome at the end. */
-  public synchronized void unfinished(int count) {
+  public synchronized void recordUnfinished(int count) {
     unfinished = count;
   }
 
