--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/DeploymentFiles.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/DeploymentFiles.java
@@ -43,15 +43,32 @@
             retryBudgetFraction: 0.1
             maxQueueLength: 100
             routes:
-              - {name: public, methods: [GET], pathPrefix: /public, idempotent: true, open: true, timeoutMillis: 2000}
-              - {name: browse, methods: [GET], pathPrefix: /, idempotent: true, timeoutMillis: 2000}
+              - name: public
+                methods: [GET]
+                pathPrefix: /public
+                idempotent: true
+                open: true
+                timeoutMillis: 2000
+              - name: browse
+                methods: [GET]
+                pathPrefix: /
+                idempotent: true
+                timeoutMillis: 2000
             versions: [{name: v1}]
           - name: orders
             retryBudgetFraction: 0.1
             maxQueueLength: 100
             routes:
-              - {name: place, methods: [POST], pathPrefix: /, idempotent: false, timeoutMillis: 3000}
-              - {name: status, methods: [GET], pathPrefix: /, idempotent: true, timeoutMillis: 2000}
+              - name: place
+                methods: [POST]
+                pathPrefix: /
+                idempotent: false
+                timeoutMillis: 3000
+              - name: status
+                methods: [GET]
+                pathPrefix: /
+                idempotent: true
+                timeoutMillis: 2000
             versions: [{name: v1}]
         backendServers:
         """);
--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Fleet.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Fleet.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collector;
 import java.util.stream.Collectors;
 
 /**
@@ -86,14 +88,14 @@
     }
     PLANS.forEach(this::relayPeers);
     PLANS.forEach(plan -> startVm(plan.name()));
-    Path files = new DeploymentFiles(backendPorts).write(directory.resolve("declared"), 0);
-    new DeploymentFiles(backendPorts).write(files, requestsPerSecond);
+    Path files =
+        new DeploymentFiles(backendPorts).write(directory.resolve("declared"), requestsPerSecond);
     command("apply", "-f", files.toString(), "--based-on", "0").expectExit(0);
-    await("every VM is ready", this::everyVmIsReady);
-    await("all backend servers are owned", this::allServersOwned);
+    await("every VM is ready", START_LIMIT, this::everyVmIsReady);
+    await("all backend servers are owned", START_LIMIT, this::allServersOwned);
   }
 
-  private static java.util.stream.Collector<CharSequence, ?, String> commas() {
+  private static Collector<CharSequence, ?, String> commas() {
     return Collectors.joining(",");
   }
 
@@ -272,10 +274,6 @@
     return owned == DeploymentFiles.servers();
   }
 
-  private void await(String what, BooleanSupplier condition) {
-    await(what, START_LIMIT, condition);
-  }
-
   private ChildProcess standIn(String name, List<String> arguments) {
     return ChildProcess.start(name, directory, STANDIN, arguments);
   }
@@ -283,8 +281,9 @@
   private void awaitPort(int port) {
     await(
         "port " + port + " listens",
+        START_LIMIT,
         () -> {
-          try (java.net.Socket socket = new java.net.Socket("127.0.0.1", port)) {
+          try (Socket socket = new Socket("127.0.0.1", port)) {
             return socket.isConnected();
           } catch (IOException e) {
             return false;
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ControlCore.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ControlCore.java
@@ -110,7 +110,7 @@
       peerMessage(message, nowNanos);
     } else if (event instanceof ControlEvent.DrainRequested) {
       state.startDraining();
-      writer.heard(state.self(), 0, nowNanos);
+      writer.heard(state.self(), 0, state.configuration.version(), nowNanos);
     }
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/HeartbeatReplies.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/HeartbeatReplies.java
@@ -50,7 +50,8 @@
 
   private void takeIn(Member sender, Heartbeat heartbeat, long nowNanos) {
     state.judge.observeContact(sender.incarnation(), nowNanos);
-    writer.heard(sender, heartbeat.getRenewalCounter(), nowNanos);
+    writer.heard(
+        sender, heartbeat.getRenewalCounter(), heartbeat.getConfigurationVersion(), nowNanos);
     if (heartbeat.getToRelay()) {
       writer.asked(nowNanos);
     }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/HeartbeatRounds.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/HeartbeatRounds.java
@@ -66,7 +66,7 @@
     nextRoundNanos = nowNanos + ControlTimings.HEARTBEAT_NANOS;
     counter++;
     state.lease.heartbeatSent(counter, nowNanos);
-    writer.heard(state.self(), counter, nowNanos);
+    writer.heard(state.self(), counter, state.configuration.version(), nowNanos);
     Map<String, PeerCall> calls = new LinkedHashMap<>();
     addNeighbours(calls, nowNanos);
     addDiscovery(calls, nowNanos);
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/RowWriter.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/RowWriter.java
@@ -56,11 +56,17 @@
     this.lastAttemptNanos = nowNanos - ControlTimings.SECOND;
   }
 
-  /** Takes in a heartbeat of a member of the own failure domain, or of this VM. */
-  void heard(Member member, long counter, long nowNanos) {
+  /**
+   * Takes in a heartbeat of a member of the own failure domain, or of this VM.
+   *
+   * @param configurationVersion the version that the member uses
+   */
+  void heard(Member member, long counter, long configurationVersion, long nowNanos) {
     Heard before = heard.get(member.incarnation());
     long highest = before == null ? counter : Math.max(counter, before.member().renewalCounter());
-    heard.put(member.incarnation(), new Heard(new RowMember(member, highest), nowNanos));
+    heard.put(
+        member.incarnation(),
+        new Heard(new RowMember(member, highest, configurationVersion), nowNanos));
     boolean changed =
         state
             .ownRow()
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRowCodec.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRowCodec.java
@@ -54,9 +54,10 @@
   private static void encodeMember(RowMember member, ObjectNode node) {
     node.put("vm", member.member().incarnation().vm().value());
     node.put("incarnation", Long.toHexString(member.member().incarnation().number()));
-    node.put("callers", member.member().callersAddress());
-    node.put("peers", member.member().peersAddress());
+    node.put("callersAddress", member.member().callersAddress());
+    node.put("peersAddress", member.member().peersAddress());
     node.put("counter", member.renewalCounter());
+    node.put("configurationVersion", member.configurationVersion());
     if (member.member().draining()) {
       node.put("draining", true);
     }
@@ -101,10 +102,13 @@
           new Member(
               incarnation,
               domain,
-              node.path("callers").asText(),
-              node.path("peers").asText(),
+              node.path("callersAddress").asText(),
+              node.path("peersAddress").asText(),
               node.path("draining").asBoolean());
-      members.put(incarnation, new RowMember(member, node.path("counter").asLong()));
+      members.put(
+          incarnation,
+          new RowMember(
+              member, node.path("counter").asLong(), node.path("configurationVersion").asLong()));
     }
     return members;
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRowUpdater.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRowUpdater.java
@@ -61,12 +61,7 @@
 
   private static Map<Incarnation, RowMember> members(DomainRow row, RowInputs inputs) {
     Map<Incarnation, RowMember> members = new HashMap<>(row.members());
-    inputs
-        .heard()
-        .forEach(
-            (id, heard) ->
-                members.merge(
-                    id, heard, (old, now) -> old.renewed(now.member(), now.renewalCounter())));
+    inputs.heard().forEach((id, heard) -> members.merge(id, heard, RowMember::renewed));
     members.keySet().removeAll(inputs.lost());
     members.replaceAll((id, member) -> withDrain(member, inputs));
     return members;
@@ -84,7 +79,8 @@
             member.callersAddress(),
             member.peersAddress(),
             true),
-        row.renewalCounter());
+        row.renewalCounter(),
+        row.configurationVersion());
   }
 
   private static void freeLost(
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/RowMember.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/RowMember.java
@@ -7,10 +7,14 @@
  *
  * @param member the member
  * @param renewalCounter the highest counter of its heartbeats that a written row includes
+ * @param configurationVersion the configuration version that it uses, 0 for none
  */
-public record RowMember(Member member, long renewalCounter) {
+public record RowMember(Member member, long renewalCounter, long configurationVersion) {
 
-  RowMember renewed(Member newest, long counter) {
-    return new RowMember(newest, Math.max(renewalCounter, counter));
+  RowMember renewed(RowMember newest) {
+    return new RowMember(
+        newest.member(),
+        Math.max(renewalCounter, newest.renewalCounter()),
+        Math.max(configurationVersion, newest.configurationVersion()));
   }
 }
