--- a/toucanrack/src/main/java/org/toucanrack/internal/command/MoveDeclaration.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/MoveDeclaration.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
+import java.time.temporal.ChronoUnit;
 import java.util.List;
 import java.util.Optional;
 import org.toucanrack.ErrorCode;
@@ -97,9 +98,7 @@
     require(
         !now.plusSeconds(seconds).isAfter(deadline),
         "The move needs at least %d s with this cap. Write a deadline of %s or later."
-            .formatted(
-                seconds,
-                now.plusSeconds(seconds + 1).truncatedTo(java.time.temporal.ChronoUnit.SECONDS)));
+            .formatted(seconds, now.plusSeconds(seconds + 1).truncatedTo(ChronoUnit.SECONDS)));
     return TableRecords.JSON
         .createObjectNode()
         .put("service", service.value())
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/PlanCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/PlanCommand.java
@@ -39,12 +39,13 @@
     try (Platform platform = invocation.openPlatform()) {
       Optional<Configuration> current = new VersionSequence(platform).current();
       DeclaredKeys.checkCustomers(current, declared);
-      print(current, declared, invocation.out());
+      print(current, declared, directory, invocation.out());
     }
     return ExitCode.DONE;
   }
 
-  private static void print(Optional<Configuration> current, Deployment declared, PrintStream out) {
+  private static void print(
+      Optional<Configuration> current, Deployment declared, String directory, PrintStream out) {
     long version = current.map(Configuration::version).orElse(0L);
     List<String> lines =
         ConfigurationDifference.between(current.map(Configuration::deployment), declared);
@@ -55,7 +56,7 @@
     lines.forEach(out::println);
     String changes = lines.size() == 1 ? "1 change" : lines.size() + " changes";
     out.println(
-        "%s to version %d. To apply exactly these: toucanrack apply --based-on %d"
-            .formatted(changes, version, version));
+        "%s to version %d. To apply exactly these: toucanrack apply -f %s --based-on %d"
+            .formatted(changes, version, directory, version));
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
@@ -1,6 +1,7 @@
 package org.toucanrack.internal.command;
 
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.util.List;
 import java.util.Optional;
 import org.toucanrack.id.FailureDomainId;
@@ -72,7 +73,7 @@
     Optional<InetSocketAddress> callers = address(settings, CALLERS_LISTEN);
     Optional<InetSocketAddress> operators = address(settings, OPERATORS_LISTEN);
     Optional<InetSocketAddress> peers = address(settings, PEERS_LISTEN);
-    List<java.net.URI> platform = settings.addresses(CommonFlags.PLATFORM);
+    List<URI> platform = settings.addresses(CommonFlags.PLATFORM);
     List<InetSocketAddress> initialPeers =
         settings.list(PEERS).stream()
             .flatMap(text -> SocketAddresses.parse(settings, PEERS, text).stream())
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
@@ -76,13 +76,12 @@
     StringBuilder text = new StringBuilder();
     problem().ifPresent(reason -> text.append("The platform did not answer: " + reason + "\n"));
     text.append("Configuration: ").append(describeConfiguration()).append('\n');
-    section(text, "VMs", members().stream().map(StatusReport::describe).toList());
-    section(text, "Moves", describe(moves, MoveText::describe));
-    section(text, "Rollouts", describe(rollouts, StatusReport::describeRollout));
-    section(text, "Drains", describe(drains, StatusReport::describeDrain));
-    if (!vms.isEmpty()) {
-      section(text, "Operators' ports", vms.stream().map(StatusReport::describe).toList());
-    }
+    section(text, "VMs", domains, members().stream().map(StatusReport::describe).toList());
+    section(text, "Moves", moves, describe(moves, MoveText::describe));
+    section(text, "Rollouts", rollouts, describe(rollouts, StatusReport::describeRollout));
+    section(text, "Drains", drains, describe(drains, StatusReport::describeDrain));
+    text.append("Operators' ports asked: ").append(vms.size()).append('\n');
+    vms.forEach(vm -> text.append("  ").append(describe(vm)).append('\n'));
     return text.toString().stripTrailing();
   }
 
@@ -156,8 +155,10 @@
         .formatted(drain.path("since").asText(), drain.path("operator").asText());
   }
 
-  private static void section(StringBuilder text, String title, List<String> lines) {
-    text.append(title).append(": ").append(lines.isEmpty() ? "none" : lines.size()).append('\n');
+  private static void section(
+      StringBuilder text, String title, StoreAnswer<List<Row>> answer, List<String> lines) {
+    String count = answer.isDone() ? Integer.toString(lines.size()) : "unknown";
+    text.append(title).append(": ").append(count).append('\n');
     lines.forEach(line -> text.append("  ").append(line).append('\n'));
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationCodec.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationCodec.java
@@ -75,6 +75,21 @@
     }
   }
 
+  /** Returns the SHA-256 of canonical bytes, by which they are named. */
+  public static String hash(byte[] body) {
+    return Sha256.hex(body);
+  }
+
+  /** Reads canonical bytes from the object store or a peer, or throws if their hash differs. */
+  public static Configuration decodeVerified(byte[] body, String expectedHash) {
+    if (!hash(body).equals(expectedHash)) {
+      throw new ToucanrackException(
+          ErrorCode.INVALID_CONFIGURATION,
+          "The body of the configuration does not match its hash " + expectedHash + ".");
+    }
+    return decode(body);
+  }
+
   /** Returns a deployment as a tree, with the fields of the records in their order. */
   static JsonNode tree(Deployment deployment) {
     return MAPPER.valueToTree(deployment);
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationStore.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ConfigurationStore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.ToucanrackException;
@@ -62,7 +63,7 @@
     VersionRecord next =
         new VersionRecord(
             publication.basedOn() + 1,
-            Sha256.hex(body),
+            ConfigurationCodec.hash(body),
             publication.basedOn(),
             publication.operation(),
             publication.writer());
@@ -129,22 +130,22 @@
 
   private static Configuration decode(VersionRecord version, Optional<byte[]> content) {
     byte[] body = content.orElseThrow(() -> damaged(version, "is missing from the object store"));
-    if (!Sha256.hex(body).equals(version.hash())) {
-      throw damaged(version, "does not match its hash");
+    Configuration configuration = ConfigurationCodec.decodeVerified(body, version.hash());
+    if (configuration.version() != version.version()) {
+      throw damaged(version, "says that it is version " + configuration.version());
     }
-    return ConfigurationCodec.decode(body);
+    return configuration;
   }
 
   private static ToucanrackException damaged(VersionRecord version, String what) {
     return new ToucanrackException(
         ErrorCode.INVALID_CONFIGURATION,
-        "The body of version %d %s. Apply the configuration again, based on version %d."
-            .formatted(version.version(), what, version.version()));
+        "The body of version %d %s. Restore the object '%s'."
+            .formatted(version.version(), what, version.objectName()));
   }
 
   /** Maps a value; an unreadable one is an unknown answer, so that no stage fails. */
-  private static <T, R> StoreAnswer<R> map(
-      StoreAnswer<T> answer, java.util.function.Function<T, R> mapping) {
+  private static <T, R> StoreAnswer<R> map(StoreAnswer<T> answer, Function<T, R> mapping) {
     if (answer instanceof StoreAnswer.Done<T> done) {
       try {
         return new StoreAnswer.Done<>(mapping.apply(done.value()));
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/HttpPlatform.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/HttpPlatform.java
@@ -11,8 +11,9 @@
 /**
  * The platform port over HTTP. Thread-safe.
  *
- * <p>Invariant: no call throws or completes exceptionally, and each completes within the time limit
- * multiplied by the number of platform addresses.
+ * <p>Invariant: no call throws or completes exceptionally, and each completes within twice the time
+ * limit multiplied by the number of platform addresses. Stages complete on threads of the adapter,
+ * which must not be blocked.
  *
  * <pre>{@code
  * try (Platform platform = new HttpPlatform(List.of(URI.create("http://127.0.0.1:19000")))) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/PlatformCalls.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/platform/PlatformCalls.java
@@ -3,12 +3,16 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.net.http.HttpTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -62,16 +66,16 @@
   }
 
   <T> CompletionStage<StoreAnswer<T>> get(String path, Decoder<T> decoder) {
-    return tryFrom(0, false, new Call<>("GET", path, null, decoder));
+    return tryFrom(0, false, false, new Call<>("GET", path, null, decoder));
   }
 
   <T> CompletionStage<StoreAnswer<T>> put(String path, byte[] body, Decoder<T> decoder) {
-    return tryFrom(0, false, new Call<>("PUT", path, body, decoder));
+    return tryFrom(0, false, false, new Call<>("PUT", path, body, decoder));
   }
 
   <T> CompletionStage<StoreAnswer<T>> post(String path, JsonNode body, Decoder<T> decoder) {
-    byte[] bytes = body.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
-    return tryFrom(0, false, new Call<>("POST", path, bytes, decoder));
+    byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+    return tryFrom(0, false, false, new Call<>("POST", path, bytes, decoder));
   }
 
   /** Throws unless the status is 200. */
@@ -107,18 +111,38 @@
 
   private record Call<T>(String method, String path, byte[] body, Decoder<T> decoder) {}
 
+  /**
+   * One answer and what it says about the call.
+   *
+   * @param answer what the caller gets if no further attempt is made
+   * @param mayHaveArrived whether the platform may have received the call
+   * @param connectionLost whether the connection ended before an answer
+   */
+  private record Attempt<T>(
+      StoreAnswer<T> answer, boolean mayHaveArrived, boolean connectionLost) {}
+
+  /**
+   * Tries the addresses from {@code index} on. A call is repeated once at the same address after a
+   * lost connection, since the platform may close a pooled connection just when it is used again;
+   * reads have no effect, puts can be repeated and commits carry an operation id.
+   */
   private <T> CompletionStage<StoreAnswer<T>> tryFrom(
-      int index, boolean earlierUnknown, Call<T> call) {
+      int index, boolean repeated, boolean earlierMayHaveArrived, Call<T> call) {
     URI address = addresses.get(index);
     return send(address, call)
-        .handle((response, failure) -> answer(address, call, response, failure))
+        .handle((response, failure) -> attempt(address, call, response, failure))
         .thenCompose(
-            answer -> {
-              boolean lastAddress = index + 1 == addresses.size();
-              if (answer instanceof Unknown<T> && !lastAddress) {
-                return tryFrom(index + 1, true, call);
+            attempt -> {
+              boolean arrived = earlierMayHaveArrived || attempt.mayHaveArrived();
+              boolean open = attempt.answer() instanceof Unknown<T>;
+              if (open && attempt.connectionLost() && !repeated) {
+                return tryFrom(index, true, arrived, call);
+              }
+              if (open && index + 1 < addresses.size()) {
+                return tryFrom(index + 1, false, arrived, call);
               }
-              return CompletableFuture.completedFuture(certain(answer, earlierUnknown));
+              return CompletableFuture.completedFuture(
+                  certain(attempt.answer(), earlierMayHaveArrived));
             });
   }
 
@@ -126,18 +150,27 @@
    * A refusal says nothing about an earlier attempt of the same call at another address, which may
    * have taken effect and may be the reason for the refusal.
    */
-  private static <T> StoreAnswer<T> certain(StoreAnswer<T> answer, boolean earlierUnknown) {
-    if (earlierUnknown && answer instanceof Refused<T> refused) {
+  private static <T> StoreAnswer<T> certain(StoreAnswer<T> answer, boolean earlierMayHaveArrived) {
+    if (earlierMayHaveArrived && answer instanceof Refused<T> refused) {
       return new Unknown<>("an earlier attempt had no answer, then: " + refused.reason());
     }
     return answer;
   }
 
-  private <T> StoreAnswer<T> answer(
+  private <T> Attempt<T> attempt(
       URI address, Call<T> call, HttpResponse<byte[]> response, Throwable failure) {
     if (failure != null) {
-      return unknown(address, call, failure);
+      Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+      boolean connected =
+          !(cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException);
+      boolean lost =
+          connected && cause instanceof IOException && !(cause instanceof HttpTimeoutException);
+      return new Attempt<>(unknown(address, call, cause), connected, lost);
     }
+    return new Attempt<>(answer(address, call, response), true, false);
+  }
+
+  private <T> StoreAnswer<T> answer(URI address, Call<T> call, HttpResponse<byte[]> response) {
     try {
       int status = response.statusCode();
       if (status == CONFLICT || status == PRECONDITION_FAILED) {
@@ -149,11 +182,7 @@
     }
   }
 
-  private static <T> StoreAnswer<T> unknown(URI address, Call<T> call, Throwable failure) {
-    Throwable cause =
-        failure instanceof CompletionException && failure.getCause() != null
-            ? failure.getCause()
-            : failure;
+  private static <T> StoreAnswer<T> unknown(URI address, Call<T> call, Throwable cause) {
     String text = cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.toString();
     String reason = "no usable answer from %s to %s".formatted(address, call.method());
     reason = reason + " " + call.path() + ": " + text;
--- a/toucanrack/src/test/java/org/toucanrack/internal/configuration/ExamplesTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/configuration/ExamplesTest.java
@@ -1,12 +1,9 @@
 package org.toucanrack.internal.configuration;
 
-import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.nio.file.Path;
-import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.toucanrack.configuration.Configuration;
 import org.toucanrack.configuration.Deployment;
 
 /** Guards against examples that no longer pass the checks or lose their declared sizes. */
@@ -34,16 +31,4 @@
     assertEquals(21048, deployment.backendServers().get(47).port());
     assertEquals(8, deployment.customers().size());
   }
-
-  @Test
-  void encodingAndDecodingKeepsConfigurationAndBytes() {
-    Deployment deployment = ConfigurationDirectory.read(EXAMPLES.resolve("saha"));
-    Configuration configuration = new Configuration(3, deployment, List.of());
-
-    byte[] body = ConfigurationCodec.encode(configuration);
-
-    Configuration decoded = ConfigurationCodec.decode(body);
-    assertEquals(configuration, decoded);
-    assertArrayEquals(body, ConfigurationCodec.encode(decoded));
-  }
 }
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/platform/HttpPlatformTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/platform/HttpPlatformTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.toucanrack.id.OperationId;
@@ -154,6 +155,32 @@
     assertInstanceOf(Unknown.class, answer);
   }
 
+  @Test
+  void trustsRefusalAfterAnAddressThatWasNotReached() throws IOException {
+    URI refusing = answering(409, "{\"reason\":\"changed\"}");
+
+    StoreAnswer<Void> answer = answer(platform(closed(), refusing).tables().commit(TRANSACTION));
+
+    assertEquals(new Refused<Void>("changed"), answer);
+  }
+
+  @Test
+  void repeatsCallOnceWhenItsConnectionIsLost() throws IOException {
+    AtomicInteger calls = new AtomicInteger();
+    URI closingFirst =
+        serving(
+            exchange -> {
+              if (calls.getAndIncrement() > 0) {
+                respond(exchange, 200, "{\"done\":true}");
+              }
+            });
+    URI closingAlways = serving(exchange -> {});
+
+    assertTrue(answer(platform(closingFirst).tables().commit(TRANSACTION)).isDone());
+    assertInstanceOf(Unknown.class, answer(platform(closingAlways).tables().get("a")));
+    assertEquals(4, requests.size());
+  }
+
   @Test
   void answersAfterClose() throws IOException {
     HttpPlatform platform = platform(answering(200, "{\"row\":null}"));
@@ -167,12 +194,13 @@
   }
 
   private URI answering(int status, String body) throws IOException {
-    return serving(
-        exchange -> {
-          byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-          exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
-          exchange.getResponseBody().write(bytes);
-        });
+    return serving(exchange -> respond(exchange, status, body));
+  }
+
+  private static void respond(HttpExchange exchange, int status, String body) throws IOException {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+    exchange.getResponseBody().write(bytes);
   }
 
   private URI serving(Handler handler) throws IOException {
