Report wrong groups and unreadable rows instead of failing on them

Cause: a group whose servers' names get too long ended the reading with one error instead of the list; a missing host was reported twice; one unreadable row ended status. Ruled out: listing each colliding server of a group, since a wrong range would give thousands of lines; the first one is reported.

--- a/toucanrack/src/main/java/org/toucanrack/internal/command/DomainRows.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/DomainRows.java
@@ -42,7 +42,7 @@
     List<MemberView> members = new ArrayList<>();
     for (Row row : rows) {
       String domain = row.key().substring(PREFIX.length());
-      for (JsonNode member : TableRecords.parse(row).path("members")) {
+      for (JsonNode member : TableRecords.parseOrDescribe(row).path("members")) {
         members.add(
             new MemberView(
                 member.path("vm").asText("unknown"),
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
@@ -54,7 +54,8 @@
 
   String toJson() {
     ObjectNode report = TableRecords.JSON.createObjectNode();
-    rows(configuration).forEach(row -> report.set("configuration", TableRecords.parse(row)));
+    rows(configuration)
+        .forEach(row -> report.set("configuration", TableRecords.parseOrDescribe(row)));
     putRows(report.putArray("domains"), domains);
     putRows(report.putArray("moves"), moves);
     putRows(report.putArray("rollouts"), rollouts);
@@ -100,7 +101,7 @@
 
   private String describeConfiguration() {
     return rows(configuration).stream()
-        .map(TableRecords::parse)
+        .map(TableRecords::parseOrDescribe)
         .map(
             row ->
                 "version %d, based on %d, written by %s"
@@ -121,7 +122,9 @@
         .map(
             row -> {
               String name = row.key().substring(row.key().indexOf('/') + 1);
-              return name + ": " + describer.describe(TableRecords.parse(row));
+              JsonNode value = TableRecords.parseOrDescribe(row);
+              boolean readable = !value.has("unreadable");
+              return name + ": " + (readable ? describer.describe(value) : "not a JSON object");
             })
         .toList();
   }
@@ -164,7 +167,7 @@
 
   private static void putRows(ArrayNode array, StoreAnswer<List<Row>> answer) {
     for (Row row : rows(answer)) {
-      array.addObject().put("key", row.key()).set("value", TableRecords.parse(row));
+      array.addObject().put("key", row.key()).set("value", TableRecords.parseOrDescribe(row));
     }
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/TableRecords.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/TableRecords.java
@@ -96,6 +96,15 @@
         "The row '%s' is not a JSON object. Use the release that wrote it.".formatted(row.key()));
   }
 
+  /** Returns a row's value, or its text in a field {@code unreadable}, for status. */
+  static ObjectNode parseOrDescribe(Row row) {
+    try {
+      return parse(row);
+    } catch (ToucanrackException e) {
+      return JSON.createObjectNode().put("unreadable", row.value());
+    }
+  }
+
   private static Condition condition(String key, Optional<Row> before) {
     return new Condition(key, before.map(Row::version).orElse(0L));
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/BackendServerReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/BackendServerReader.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.toucanrack.ToucanrackException;
 import org.toucanrack.configuration.BackendServer;
 import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.FailureDomainId;
@@ -121,45 +122,71 @@
   }
 
   private int firstPort(Section section, int size) {
-    String text = section.text("ports", "20001-20015");
-    Matcher matcher = PORTS.matcher(text);
+    Optional<String> text = section.text("ports", "20001-20015");
+    Matcher matcher = PORTS.matcher(text.orElse("1-1"));
     if (!matcher.matches()) {
       section.fault(
           "ports",
-          "'%s' is no port range. Write FIRST-LAST, for example 20001-20015.".formatted(text));
+          "'%s' is no port range. Write FIRST-LAST, for example 20001-20015."
+              .formatted(text.orElseThrow()));
       return 1;
     }
     int first = Integer.parseInt(matcher.group(1));
     int last = Integer.parseInt(matcher.group(2));
-    if (first < 1 || last > MAX_PORT || last - first + 1 != size) {
+    if (text.isPresent()) {
+      checkRange(section, first, last, size);
+    }
+    return first;
+  }
+
+  private static void checkRange(Section section, int first, int last, int size) {
+    if (first < 1 || last > MAX_PORT || first > last) {
       section.fault(
           "ports",
-          "the range %s holds %d ports, but the group has %d servers. Write %d-%d."
-              .formatted(text, last - first + 1, size, first, first + size - 1));
+          "%d-%d is no port range. Write two rising numbers from 1 to %d."
+              .formatted(first, last, MAX_PORT));
+    } else if (last - first + 1 != size) {
+      section.fault(
+          "ports",
+          "the range %d-%d holds %d ports, but the group has %d servers. Write %d-%d."
+              .formatted(first, last, last - first + 1, size, first, first + size - 1));
     }
-    return first;
   }
 
+  /** Returns the servers of a group; only the first fault of them is reported. */
   private List<BackendServer> members(
       Section section, String prefix, Common common, List<FailureDomainId> places, int firstPort) {
     Map<FailureDomainId, Integer> numbers = new HashMap<>();
     List<BackendServer> members = new ArrayList<>();
-    for (int i = 0; i < places.size(); i++) {
+    int before = faults.reports();
+    for (int i = 0; i < places.size() && faults.reports() == before; i++) {
       FailureDomainId place = places.get(i);
       int number = numbers.merge(place, 1, Integer::sum);
-      BackendServerId id = new BackendServerId(prefix + "-" + place + "-" + number);
-      if (!names.add(id, section.position())) {
-        section.fault(
-            "name",
-            "the server name '%s' is already used at %s. Choose another group name."
-                .formatted(id, names.position(id)));
-      }
+      Optional<BackendServerId> id = memberId(section, prefix + "-" + place + "-" + number);
       checkEndpoint(section, "ports", common.host(), firstPort + i);
-      members.add(server(id, common, place, firstPort + i));
+      if (id.isPresent()) {
+        members.add(server(id.get(), common, place, firstPort + i));
+      }
     }
     return members;
   }
 
+  private Optional<BackendServerId> memberId(Section section, String text) {
+    try {
+      BackendServerId id = new BackendServerId(text);
+      if (names.add(id, section.position())) {
+        return Optional.of(id);
+      }
+      section.fault(
+          "name",
+          "the server name '%s' is already used at %s. Choose another group name."
+              .formatted(id, names.position(id)));
+    } catch (ToucanrackException e) {
+      section.fault("name", e.getMessage() + " Choose a shorter group name.");
+    }
+    return Optional.empty();
+  }
+
   private static BackendServer server(
       BackendServerId id, Common common, FailureDomainId domain, int port) {
     return new BackendServer(
@@ -185,12 +212,12 @@
   }
 
   private static String host(Section section) {
-    String host = section.text("host", "'10.0.0.1'");
-    if (!isIpNumber(host)) {
+    Optional<String> host = section.text("host", "10.0.0.1");
+    if (host.isPresent() && !isIpNumber(host.get())) {
       section.fault(
-          "host", "'%s' is no IP number. Write one, for example 10.0.0.1.".formatted(host));
+          "host", "'%s' is no IP number. Write one, for example 10.0.0.1.".formatted(host.get()));
     }
-    return host;
+    return host.orElse("");
   }
 
   private static boolean isIpNumber(String host) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/Section.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/Section.java
@@ -49,10 +49,10 @@
     faults.add(position(field), prefix() + message);
   }
 
-  String text(String field, String example) {
+  /** Reads a text; empty if it is missing or no text, which is reported. */
+  Optional<String> text(String field, String example) {
     return scalar(field, YamlNode.ScalarType.TEXT, "a text, for example " + example)
-        .map(YamlNode.Scalar::text)
-        .orElse(PLACEHOLDER);
+        .map(YamlNode.Scalar::text);
   }
 
   /** Reads a name and checks it with the constructor of its id type. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/configuration/ServiceReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/configuration/ServiceReader.java
@@ -168,15 +168,15 @@
   }
 
   private static String pathPrefix(Section section) {
-    String prefix = section.text("pathPrefix", "/orders");
-    if (section.has("pathPrefix") && !PATH_PREFIX.matcher(prefix).matches()) {
+    Optional<String> prefix = section.text("pathPrefix", "/orders");
+    if (prefix.isPresent() && !PATH_PREFIX.matcher(prefix.get()).matches()) {
       section.fault(
           "pathPrefix",
           "'%s' is no path prefix. Write '/' followed by segments of letters, digits, '.', '_',"
-                  .formatted(prefix)
+                  .formatted(prefix.get())
               + " '~' and '-'.");
     }
-    return prefix;
+    return prefix.orElse("/");
   }
 
   private void readVersions(Section service, ServiceId id) {
--- a/toucanrack/src/test/java/org/toucanrack/internal/command/ProgramTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/command/ProgramTest.java
@@ -214,6 +214,7 @@
     platform.putRow(
         "rollout/dutyview/v2",
         "{\"state\":\"taken back\",\"share\":0.0,\"reason\":\"Errors on route view.\"}");
+    platform.putRow("move/broken", "not json");
     platform.putRow("drain/vm/vm-1", "{\"since\":\"2026-12-04T00:00:00Z\",\"operator\":\"op\"}");
     output.reset();
 
--- a/toucanrack/src/test/java/org/toucanrack/internal/configuration/FaultsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/configuration/FaultsTest.java
@@ -66,6 +66,18 @@
     Approvals.verify(failure().getMessage());
   }
 
+  @Test
+  void reportsGroupsWithWrongNamesAndPorts() throws IOException {
+    copyExample();
+    edit("backend-servers.yaml", "name: catalogue", "name: " + "c".repeat(55));
+    edit("backend-servers.yaml", "ports: 20016-20027", "ports: 65530-65541");
+    edit("backend-servers.yaml", "ports: 20028-20039", "ports: 20001-20012");
+    edit("backend-servers.yaml", "ports: 20040-20051", "ports: 20040");
+    edit("backend-servers.yaml", "    host: 127.0.0.1\n    ports: 20040", "    ports: 20040");
+
+    Approvals.verify(failure().getMessage());
+  }
+
   @Test
   void reportsVersionWithoutBackendServer() throws IOException {
     copyExample();
