--- a/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/ServeCommand.java
@@ -1,6 +1,7 @@
 package org.toucanrack.internal.command;
 
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.util.List;
 import java.util.Optional;
 import org.toucanrack.id.FailureDomainId;
@@ -86,7 +87,7 @@
     Optional<InetSocketAddress> peers = address(settings, PEERS_LISTEN);
     Optional<InetSocketAddress> callersTold = optionalAddress(settings, CALLERS_ADVERTISE);
     Optional<InetSocketAddress> peersTold = optionalAddress(settings, PEERS_ADVERTISE);
-    List<java.net.URI> platform = settings.addresses(CommonFlags.PLATFORM);
+    List<URI> platform = settings.addresses(CommonFlags.PLATFORM);
     List<InetSocketAddress> initialPeers =
         settings.list(PEERS).stream()
             .flatMap(text -> SocketAddresses.parse(settings, PEERS, text).stream())
