--- a/bench/src/main/java/org/toucanrack/bench/result/Phase.java
+++ b/bench/src/main/java/org/toucanrack/bench/result/Phase.java
@@ -41,6 +41,7 @@
     figures.put("drainMillis", drainMillis);
     figures.put("backends", truth.describe());
     figures.put("notAnswered", recorder.rejections());
+    figures.put("examplesOfNotAnswered", recorder.examples());
     Map<String, Object> routes = new LinkedHashMap<>();
     recorder.byRoute().forEach((route, series) -> routes.put(route, series.describe()));
     figures.put("routes", routes);
--- a/bench/src/main/java/org/toucanrack/bench/result/Recorder.java
+++ b/bench/src/main/java/org/toucanrack/bench/result/Recorder.java
@@ -1,6 +1,8 @@
 package org.toucanrack.bench.result;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -11,10 +13,13 @@
 /** Records the outcome of every request of a run. Thread-safe while the run is on. */
 public final class Recorder {
 
+  private static final int EXAMPLES = 3;
+
   private final Series all = new Series();
   private final Map<String, Series> byRoute = new TreeMap<>();
   private final Map<String, Series> byCustomer = new TreeMap<>();
   private final Map<String, Integer> rejections = new TreeMap<>();
+  private final Map<String, List<String>> examples = new TreeMap<>();
   private final Set<String> notRunIds = new HashSet<>();
   private final Set<String> answeredIds = new HashSet<>();
   private int unfinished;
@@ -37,7 +42,12 @@
       answeredIds.add(request.id());
     } else {
       String code = result.code().isEmpty() ? "" : " " + result.code();
-      rejections.merge(outcome + " " + result.status() + code, 1, Integer::sum);
+      String kind = outcome + " " + result.status() + code;
+      if (rejections.merge(kind, 1, Integer::sum) <= EXAMPLES) {
+        examples
+            .computeIfAbsent(kind, key -> new ArrayList<>())
+            .add(request.method() + " " + request.target() + " at " + result.servedBy());
+      }
     }
   }
 
@@ -66,6 +76,11 @@
     return rejections;
   }
 
+  /** Returns the first requests of each kind in {@link #rejections}. */
+  public Map<String, List<String>> examples() {
+    return examples;
+  }
+
   /** Returns the ids of requests whose callers were told that they did not run. */
   public Set<String> notRunIds() {
     return notRunIds;
--- a/bin/deployment.bash
+++ b/bin/deployment.bash
@@ -3,7 +3,7 @@
 # Every started process is remembered by its id, and only these are ended.
 
 home="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
-small_jvm="-XX:+UseSerialGC -XX:TieredStopAtLevel=4 -Xss512k"
+small_jvm="-XX:+UseSerialGC -Xss512k"
 started=()
 
 fail() {
