--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/ChildProcess.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/ChildProcess.java
@@ -32,7 +32,10 @@
     Path log = directory.resolve(name + "-" + System.nanoTime() + ".log");
     try {
       Process process =
-          new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(log.toFile())
+              .start();
       return new ChildProcess(name, process, log);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/retry/RetryRules.java
@@ -0,0 +1,31 @@
+package org.toucanrack.internal.coordination.retry;
+
+import org.toucanrack.ErrorCode;
+import org.toucanrack.Verdict;
+
+/** Says which failed attempts may be repeated. Stateless and thread-safe. */
+public final class RetryRules {
+
+  /** Attempts of one request, with the first. */
+  public static final int MAX_ATTEMPTS = 3;
+
+  private static final long MIN_TIME_LEFT_NANOS = 5_000_000L;
+
+  private RetryRules() {}
+
+  /** Returns whether another attempt is allowed; the budget is asked separately. */
+  public static boolean allowsRepeat(
+      Verdict verdict, ErrorCode code, boolean idempotent, int attempts, long timeLeftNanos) {
+    return attempts < MAX_ATTEMPTS
+        && timeLeftNanos > MIN_TIME_LEFT_NANOS
+        && verdict.allowsRepeat(idempotent)
+        && couldEndOtherwise(code);
+  }
+
+  private static boolean couldEndOtherwise(ErrorCode code) {
+    return switch (code) {
+      case INVALID_REQUEST, BODY_TOO_LARGE, DEADLINE_EXCEEDED, FORBIDDEN -> false;
+      default -> true;
+    };
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/DestinationChooser.java
@@ -0,0 +1,180 @@
+package org.toucanrack.internal.coordination.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.internal.coordination.move.ShiftGate;
+import org.toucanrack.internal.state.TrafficSplit;
+
+/**
+ * Chooses the failure domain and the owner of one attempt.
+ *
+ * <p>Traffic stays in its own failure domain, or where a split of a move sends it. Only when no
+ * owner there is usable it goes elsewhere, within the shift gate, the link budget and the free
+ * slots there. A split needs no gate: each change of a split is bounded by the steps of its move.
+ * Thread-safe.
+ */
+public final class DestinationChooser {
+
+  private final OwnerLoads loads;
+  private final LinkBudgets links;
+  private final ShiftGate gate;
+  private final DoubleSupplier random;
+
+  /** Creates a chooser; {@code random} returns values from 0 (inclusive) to 1 (exclusive). */
+  public DestinationChooser(
+      OwnerLoads loads, LinkBudgets links, ShiftGate gate, DoubleSupplier random) {
+    this.loads = loads;
+    this.links = links;
+    this.gate = gate;
+    this.random = random;
+  }
+
+  /** Chooses a destination for traffic that arrived in the failure domain {@code own}. */
+  public Destination choose(
+      RoutingRequest request, RoutingIndex index, List<TrafficSplit> splits, FailureDomainId own) {
+    List<FailureDomainId> domains = byDistance(request, index, own);
+    if (domains.isEmpty()) {
+      return new Destination.None(ErrorCode.NO_CAPACITY, "No backend server is declared.");
+    }
+    FailureDomainId home = domains.get(0);
+    FailureDomainId planned = planned(request, splits, home);
+    Optional<OwnerSlots> there = usable(request, index, planned);
+    if (there.isPresent() && linkAdmits(request, planned)) {
+      return new Destination.Owner(there.get().owner(), false);
+    }
+    return elsewhere(request, index, domains, planned);
+  }
+
+  private Destination elsewhere(
+      RoutingRequest request,
+      RoutingIndex index,
+      List<FailureDomainId> domains,
+      FailureDomainId planned) {
+    boolean homeIsAlive = !index.owners(request.service(), request.version(), planned).isEmpty();
+    boolean capReached = false;
+    for (FailureDomainId domain : byHeadroom(request, index, domains, planned)) {
+      Optional<OwnerSlots> owner = usable(request, index, domain);
+      if (owner.isEmpty() || !linkAdmits(request, domain)) {
+        continue;
+      }
+      if (gate.tryShift(request.service(), planned, domain, request.nowNanos())) {
+        return new Destination.Owner(owner.get().owner(), homeIsAlive);
+      }
+      capReached = true;
+    }
+    return lastResort(request, index, planned, capReached);
+  }
+
+  /** An owner that refused a short time ago is still better than a refusal. */
+  private Destination lastResort(
+      RoutingRequest request, RoutingIndex index, FailureDomainId planned, boolean capReached) {
+    List<OwnerSlots> owners =
+        index.owners(request.service(), request.version(), planned).stream()
+            .filter(owner -> !request.excluded().contains(owner.owner().incarnation()))
+            .toList();
+    if (!owners.isEmpty() && linkAdmits(request, planned)) {
+      return new Destination.Owner(lessLoaded(request, owners).owner(), false);
+    }
+    return capReached
+        ? new Destination.None(
+            ErrorCode.SHIFT_CAP_REACHED, "The cap on shifts between failure domains is reached.")
+        : new Destination.None(
+            ErrorCode.NO_CAPACITY, "No owner with headroom and link capacity is left.");
+  }
+
+  private FailureDomainId planned(
+      RoutingRequest request, List<TrafficSplit> splits, FailureDomainId home) {
+    double point = random.getAsDouble();
+    for (TrafficSplit split : splits) {
+      if (split.service().equals(request.service()) && split.from().equals(home)) {
+        for (Map.Entry<FailureDomainId, Double> part : split.fractions().entrySet()) {
+          point -= part.getValue();
+          if (point < 0) {
+            return part.getKey();
+          }
+        }
+      }
+    }
+    return home;
+  }
+
+  private static List<FailureDomainId> byDistance(
+      RoutingRequest request, RoutingIndex index, FailureDomainId own) {
+    List<FailureDomainId> domains =
+        new ArrayList<>(index.declaredDomains(request.service(), request.version()));
+    domains.sort(Comparator.comparingInt(domain -> index.distance(own, domain)));
+    return domains;
+  }
+
+  private List<FailureDomainId> byHeadroom(
+      RoutingRequest request,
+      RoutingIndex index,
+      List<FailureDomainId> domains,
+      FailureDomainId planned) {
+    return domains.stream()
+        .filter(domain -> !domain.equals(planned))
+        .sorted(
+            Comparator.<FailureDomainId>comparingInt(domain -> index.distance(planned, domain))
+                .thenComparingDouble(domain -> loadOf(request, index, domain)))
+        .toList();
+  }
+
+  private double loadOf(RoutingRequest request, RoutingIndex index, FailureDomainId domain) {
+    return index.owners(request.service(), request.version(), domain).stream()
+        .mapToDouble(owner -> relativeLoad(request, owner))
+        .min()
+        .orElse(Double.MAX_VALUE);
+  }
+
+  /** Owners that were not excluded, did not refuse a short time ago and have headroom. */
+  private Optional<OwnerSlots> usable(
+      RoutingRequest request, RoutingIndex index, FailureDomainId domain) {
+    List<OwnerSlots> owners =
+        index.owners(request.service(), request.version(), domain).stream()
+            .filter(owner -> !request.excluded().contains(owner.owner().incarnation()))
+            .filter(owner -> !avoids(request, owner))
+            .toList();
+    return owners.isEmpty() ? Optional.empty() : Optional.of(lessLoaded(request, owners));
+  }
+
+  private boolean avoids(RoutingRequest request, OwnerSlots owner) {
+    return loads.avoids(owner.owner().incarnation(), request.service(), request.nowNanos());
+  }
+
+  /** Power of two choices, weighted by slots: the less loaded of two random owners. */
+  private OwnerSlots lessLoaded(RoutingRequest request, List<OwnerSlots> owners) {
+    OwnerSlots one = pick(owners);
+    OwnerSlots other = pick(owners);
+    return relativeLoad(request, one) <= relativeLoad(request, other) ? one : other;
+  }
+
+  private OwnerSlots pick(List<OwnerSlots> owners) {
+    int total = owners.stream().mapToInt(OwnerSlots::slots).sum();
+    double point = random.getAsDouble() * total;
+    for (OwnerSlots owner : owners) {
+      point -= owner.slots();
+      if (point < 0) {
+        return owner;
+      }
+    }
+    return owners.get(owners.size() - 1);
+  }
+
+  private double relativeLoad(RoutingRequest request, OwnerSlots owner) {
+    int inFlight = loads.inFlight(owner.owner().incarnation(), request.service());
+    return (inFlight + 1.0) / owner.slots();
+  }
+
+  private boolean linkAdmits(RoutingRequest request, FailureDomainId domain) {
+    return links
+        .towards(domain)
+        .map(link -> link.trySend(request.requestBytes(), request.nowNanos()))
+        .orElse(true);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/LinkBudget.java
@@ -0,0 +1,69 @@
+package org.toucanrack.internal.coordination.routing;
+
+/**
+ * This VM's share of the capacity of one link between regions, in both directions.
+ *
+ * <p>Invariant: over any time, the bytes admitted stay within the share of the capacity, plus the
+ * responses that were under way when the budget was used up. Thread-safe.
+ */
+public final class LinkBudget {
+
+  /** The rest is left to control traffic and to headers that are not counted. */
+  private static final double USABLE_FRACTION = 0.9;
+
+  private static final double BITS_PER_BYTE = 8;
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double BURST_SECONDS = 0.25;
+
+  private double bytesPerNano;
+  private double requestBytes;
+  private double responseBytes;
+  private long refilledNanos;
+
+  /**
+   * Creates a full budget.
+   *
+   * @param bitsPerSecond capacity of the link in each direction
+   * @param sharers VMs of this region, which all use the link; each direction also carries the
+   *     responses to, or the requests of, the other region's VMs, so that half is used for each
+   */
+  public LinkBudget(long bitsPerSecond, int sharers, long nowNanos) {
+    resize(bitsPerSecond, sharers);
+    requestBytes = burst();
+    responseBytes = burst();
+    refilledNanos = nowNanos;
+  }
+
+  /** Changes the share when the configuration or the number of VMs changes. */
+  public final synchronized void resize(long bitsPerSecond, int sharers) {
+    double bytesPerSecond = bitsPerSecond * USABLE_FRACTION / BITS_PER_BYTE / 2;
+    bytesPerNano = bytesPerSecond / Math.max(1, sharers) / NANOS_PER_SECOND;
+  }
+
+  /** Takes the bytes of one request, if the link has room for it and for a response. */
+  public synchronized boolean trySend(long bytes, long nowNanos) {
+    refill(nowNanos);
+    if (responseBytes <= 0 || requestBytes <= 0) {
+      return false;
+    }
+    requestBytes -= bytes;
+    return true;
+  }
+
+  /** Counts the bytes of a response; a deficit delays the next requests. */
+  public synchronized void received(long bytes, long nowNanos) {
+    refill(nowNanos);
+    responseBytes -= bytes;
+  }
+
+  private void refill(long nowNanos) {
+    double added = Math.max(0, nowNanos - refilledNanos) * bytesPerNano;
+    refilledNanos = Math.max(refilledNanos, nowNanos);
+    requestBytes = Math.min(burst(), requestBytes + added);
+    responseBytes = Math.min(burst(), responseBytes + added);
+  }
+
+  private double burst() {
+    return bytesPerNano * NANOS_PER_SECOND * BURST_SECONDS;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/OwnerLoads.java
@@ -0,0 +1,69 @@
+package org.toucanrack.internal.coordination.routing;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.ServiceId;
+
+/**
+ * What this VM knows of the load of owners: its own requests in flight there, and recent refusals.
+ * Thread-safe.
+ */
+public final class OwnerLoads {
+
+  private static final long AVOID_UNREACHABLE_NANOS = 1_000_000_000L;
+  private static final long AVOID_FULL_NANOS = 50_000_000L;
+
+  private record Key(Incarnation owner, ServiceId service) {}
+
+  private static final class Load {
+    final AtomicInteger inFlight = new AtomicInteger();
+    volatile boolean avoided;
+    volatile long avoidUntilNanos;
+  }
+
+  private final Map<Key, Load> loads = new ConcurrentHashMap<>();
+
+  /** Counts a request that is sent to the owner. */
+  public void begin(Incarnation owner, ServiceId service) {
+    load(owner, service).inFlight.incrementAndGet();
+  }
+
+  /** Counts the end of a request; {@code refusal} is null if the owner accepted it. */
+  public void end(Incarnation owner, ServiceId service, ErrorCode refusal, long nowNanos) {
+    Load load = load(owner, service);
+    load.inFlight.decrementAndGet();
+    if (refusal != null) {
+      load.avoidUntilNanos = nowNanos + avoidance(refusal);
+      load.avoided = true;
+    }
+  }
+
+  /** Returns requests of this VM in flight at the owner. */
+  public int inFlight(Incarnation owner, ServiceId service) {
+    Load load = loads.get(new Key(owner, service));
+    return load == null ? 0 : load.inFlight.get();
+  }
+
+  /** Returns whether the owner refused requests a short time ago. */
+  public boolean avoids(Incarnation owner, ServiceId service, long nowNanos) {
+    Load load = loads.get(new Key(owner, service));
+    return load != null && load.avoided && nowNanos - load.avoidUntilNanos < 0;
+  }
+
+  /** Forgets incarnations that are no longer members. */
+  public void retain(Set<Incarnation> members) {
+    loads.keySet().removeIf(key -> !members.contains(key.owner()));
+  }
+
+  private static long avoidance(ErrorCode refusal) {
+    return refusal == ErrorCode.OVERLOADED ? AVOID_FULL_NANOS : AVOID_UNREACHABLE_NANOS;
+  }
+
+  private Load load(Incarnation owner, ServiceId service) {
+    return loads.computeIfAbsent(new Key(owner, service), key -> new Load());
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/ticket/TicketId.java
@@ -0,0 +1,55 @@
+package org.toucanrack.internal.coordination.ticket;
+
+import java.util.Optional;
+import org.toucanrack.ToucanrackException;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.VmId;
+
+/**
+ * A parsed ticket {@code VM.INCARNATION.SEQUENCE.MAC}. Immutable and thread-safe.
+ *
+ * @param home the incarnation whose memory decides
+ * @param sequence number given by the home, which also tells its age
+ * @param mac proof that the home issued it
+ */
+public record TicketId(Incarnation home, long sequence, String mac) {
+
+  private static final int PARTS_AFTER_VM = 3;
+  private static final int HEXADECIMAL = 16;
+
+  /** Parses a ticket; the name of the VM may contain dots. */
+  public static Optional<TicketId> parse(String text) {
+    String[] parts = text.split("\\.", -1);
+    int last = parts.length - 1;
+    if (last < PARTS_AFTER_VM) {
+      return Optional.empty();
+    }
+    String vm = text.substring(0, lengthOfVm(parts));
+    try {
+      long number = Long.parseUnsignedLong(parts[last - 2], HEXADECIMAL);
+      long sequence = Long.parseLong(parts[last - 1], HEXADECIMAL);
+      return Optional.of(
+          new TicketId(new Incarnation(new VmId(vm), number), sequence, parts[last]));
+    } catch (IllegalArgumentException | ToucanrackException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static int lengthOfVm(String[] parts) {
+    int length = parts.length - PARTS_AFTER_VM - 1;
+    for (int i = 0; i < parts.length - PARTS_AFTER_VM; i++) {
+      length += parts[i].length();
+    }
+    return length;
+  }
+
+  /** Returns the part that the MAC covers. */
+  String signedPart() {
+    return home.vm() + "." + Long.toHexString(home.number()) + "." + Long.toHexString(sequence);
+  }
+
+  @Override
+  public String toString() {
+    return signedPart() + "." + mac;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/ticket/TicketRegister.java
@@ -0,0 +1,187 @@
+package org.toucanrack.internal.coordination.ticket;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.Verdict;
+import org.toucanrack.id.Incarnation;
+
+/**
+ * Issues tickets and remembers their outcomes, for one incarnation.
+ *
+ * <p>Invariants: a ticket's request is handed out to run at most once, unless that run ended as not
+ * run. An outcome is kept for at least as long as its ticket is valid. Memory is bounded: a ticket
+ * that was never used needs none, used ones expire, and first uses are refused while the stored
+ * answers are over the limit. Thread-safe.
+ *
+ * @param <T> the type of answers
+ */
+public final class TicketRegister<T> {
+
+  /** How long a ticket can be used after it was issued. */
+  public static final long LIFETIME_NANOS = 300_000_000_000L;
+
+  private static final long MAX_STORED_BYTES = 48L << 20;
+  private static final int BYTES_PER_ENTRY = 512;
+  private static final int COUNTER_BITS = 24;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+  private static final String MAC_ALGORITHM = "HmacSHA256";
+
+  private final Incarnation self;
+  private final SecretKeySpec secret;
+  private final ToLongFunction<T> sizeOf;
+  private final long startNanos;
+  private final Map<Long, Entry<T>> entries = new HashMap<>();
+  private final ArrayDeque<Entry<T>> byExpiry = new ArrayDeque<>();
+  private long counter;
+  private long storedBytes;
+
+  /**
+   * Creates an empty register.
+   *
+   * @param self the home of all tickets issued here
+   * @param secret random bytes, new for each incarnation
+   * @param sizeOf bytes that an answer occupies
+   * @param startNanos monotonic time of the start
+   */
+  public TicketRegister(
+      Incarnation self, byte[] secret, ToLongFunction<T> sizeOf, long startNanos) {
+    this.self = self;
+    this.secret = new SecretKeySpec(secret, MAC_ALGORITHM);
+    this.sizeOf = sizeOf;
+    this.startNanos = startNanos;
+  }
+
+  private static final class Entry<T> {
+    final long sequence;
+    final String fingerprint;
+    final long expiresNanos;
+    final CompletableFuture<T> outcome = new CompletableFuture<>();
+    long bytes = BYTES_PER_ENTRY;
+
+    Entry(long sequence, String fingerprint, long expiresNanos) {
+      this.sequence = sequence;
+      this.fingerprint = fingerprint;
+      this.expiresNanos = expiresNanos;
+    }
+  }
+
+  /** Issues a ticket. The sequence starts with the second of issue. */
+  public synchronized String issue(long nowNanos) {
+    long second = (nowNanos - startNanos) / NANOS_PER_SECOND;
+    counter = (counter + 1) & ((1L << COUNTER_BITS) - 1);
+    TicketId unsigned = new TicketId(self, second << COUNTER_BITS | counter, "");
+    return new TicketId(self, unsigned.sequence(), macOf(unsigned)).toString();
+  }
+
+  /**
+   * Decides on a request with a ticket.
+   *
+   * @param fingerprint identifies customer and request, so that a ticket cannot fetch the answer to
+   *     another request
+   */
+  public synchronized TicketUse<T> use(TicketId ticket, String fingerprint, long nowNanos) {
+    forgetExpired(nowNanos);
+    if (!ticket.home().equals(self)) {
+      return new TicketUse.Refused<>(
+          Verdict.MAY_HAVE_RUN,
+          ErrorCode.TICKET_HOME_LOST,
+          "The VM that issued the ticket has restarted. Check whether the request ran.");
+    }
+    if (!issuedHere(ticket)) {
+      return new TicketUse.Refused<>(
+          Verdict.NOT_RUN, ErrorCode.TICKET_UNKNOWN, "The ticket is not valid. Get a new one.");
+    }
+    Entry<T> entry = entries.get(ticket.sequence());
+    return entry == null ? firstUse(ticket, fingerprint, nowNanos) : repeat(entry, fingerprint);
+  }
+
+  /** Stores the outcome of a first use; after not-run the ticket is unused again. */
+  public void complete(TicketId ticket, Verdict verdict, T answer) {
+    CompletableFuture<T> outcome = store(ticket, verdict, answer);
+    if (outcome != null) {
+      outcome.complete(answer);
+    }
+  }
+
+  private synchronized CompletableFuture<T> store(TicketId ticket, Verdict verdict, T answer) {
+    Entry<T> entry = entries.get(ticket.sequence());
+    if (entry == null) {
+      return null;
+    }
+    if (verdict == Verdict.NOT_RUN) {
+      entries.remove(entry.sequence);
+    } else {
+      long bytes = sizeOf.applyAsLong(answer);
+      entry.bytes += bytes;
+      storedBytes += bytes;
+    }
+    return entry.outcome;
+  }
+
+  private TicketUse<T> firstUse(TicketId ticket, String fingerprint, long nowNanos) {
+    if (ageNanos(ticket, nowNanos) >= LIFETIME_NANOS) {
+      return new TicketUse.Refused<>(
+          Verdict.MAY_HAVE_RUN,
+          ErrorCode.TICKET_UNKNOWN,
+          "The ticket has expired. Check whether the request ran.");
+    }
+    if (storedBytes >= MAX_STORED_BYTES) {
+      return new TicketUse.Refused<>(
+          Verdict.NOT_RUN, ErrorCode.OVERLOADED, "This VM holds too many outcomes. Retry later.");
+    }
+    Entry<T> entry = new Entry<>(ticket.sequence(), fingerprint, nowNanos + LIFETIME_NANOS);
+    entries.put(entry.sequence, entry);
+    byExpiry.addLast(entry);
+    storedBytes += entry.bytes;
+    return new TicketUse.First<>();
+  }
+
+  private TicketUse<T> repeat(Entry<T> entry, String fingerprint) {
+    return entry.fingerprint.equals(fingerprint)
+        ? new TicketUse.Repeat<>(entry.outcome.copy())
+        : new TicketUse.Refused<>(
+            Verdict.NOT_RUN, ErrorCode.CONFLICT, "The ticket belongs to another request.");
+  }
+
+  /** An entry that still runs is kept beyond its time. */
+  private void forgetExpired(long nowNanos) {
+    while (!byExpiry.isEmpty()
+        && nowNanos - byExpiry.peekFirst().expiresNanos >= 0
+        && byExpiry.peekFirst().outcome.isDone()) {
+      Entry<T> expired = byExpiry.pollFirst();
+      entries.remove(expired.sequence, expired);
+      storedBytes -= expired.bytes;
+    }
+  }
+
+  private long ageNanos(TicketId ticket, long nowNanos) {
+    return nowNanos - startNanos - (ticket.sequence() >>> COUNTER_BITS) * NANOS_PER_SECOND;
+  }
+
+  private boolean issuedHere(TicketId ticket) {
+    return MessageDigest.isEqual(
+        macOf(ticket).getBytes(StandardCharsets.US_ASCII),
+        ticket.mac().getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private String macOf(TicketId ticket) {
+    try {
+      Mac mac = Mac.getInstance(MAC_ALGORITHM);
+      mac.init(secret);
+      return HexFormat.of()
+          .formatHex(mac.doFinal(ticket.signedPart().getBytes(StandardCharsets.US_ASCII)));
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendCall.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendCall.java
@@ -13,6 +13,7 @@
 final class BackendCall {
 
   private final CompletableFuture<ForwardAnswer> answer = new CompletableFuture<>();
+  private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private TcpSocket socket;
   private boolean connectFailed;
 
@@ -20,6 +21,11 @@
     return answer;
   }
 
+  /** Completes when the backend server no longer works on the request, as far as is known. */
+  CompletableFuture<Void> stopped() {
+    return stopped;
+  }
+
   void markConnectFailed() {
     connectFailed = true;
   }
@@ -39,14 +45,23 @@
 
   /** Answers with the complete response; the connection may be used again. */
   void finish(ForwardAnswer complete) {
+    stopped.complete(null);
     answer.complete(complete);
   }
 
   /** Answers early and closes the connection, so that it never returns to the pool. */
   void abort(ForwardAnswer early) {
-    if (answer.complete(early)) {
+    stopped.complete(null);
+    interrupt(early);
+  }
+
+  /** Like {@link #abort}, but {@link #stopped} is left to the caller. */
+  boolean interrupt(ForwardAnswer early) {
+    boolean first = answer.complete(early);
+    if (first) {
       closeConnection();
     }
+    return first;
   }
 
   private void closeConnection() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
@@ -11,7 +11,6 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.toucanrack.ErrorCode;
@@ -24,14 +23,18 @@
  * Sends requests to backend servers from one event loop.
  *
  * <p>Invariant: a connection on which a request ended without its complete response is closed.
- * {@link #call} is thread-safe; all else runs on the event loop.
+ * {@link #call} and {@link #cancel} are thread-safe; all else runs on the event loop.
  */
 final class BackendClient {
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(20);
   private static final Duration LONGEST_CALL = Duration.ofMinutes(10);
+  private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
   private static final int MAX_RESPONSE_BYTES = 16 << 20;
+  private static final int MAX_CANCEL_RESPONSE_BYTES = 64 << 10;
+  private static final ForwardAnswer CANCELLED =
+      Answers.mayHaveRun(ErrorCode.OUTCOME_UNKNOWN, "The request was cancelled while it ran.");
 
   private final Eventloop loop;
   private final LongSupplier clock;
@@ -56,11 +59,31 @@
   }
 
   /** Sends the request; the answer never completes exceptionally. */
-  CompletableFuture<ForwardAnswer> call(
-      BackendServer server, ForwardRequest request, long deadlineNanos) {
+  BackendCall call(BackendServer server, ForwardRequest request, long deadlineNanos) {
     BackendCall call = new BackendCall();
     loop.execute(() -> begin(call, server, request, deadlineNanos));
-    return call.answer();
+    return call;
+  }
+
+  /** Ends a call early and asks the backend server to stop the request. Thread-safe. */
+  void cancel(BackendCall call, BackendServer server, String requestId) {
+    loop.execute(
+        () -> {
+          if (call.interrupt(CANCELLED)) {
+            askToStop(call, server, requestId);
+          }
+        });
+  }
+
+  private void askToStop(BackendCall call, BackendServer server, String requestId) {
+    loop.delayBackground(CANCEL_TIMEOUT, () -> call.stopped().complete(null));
+    client
+        .request(
+            HttpRequest.post(
+                    "http://" + server.host() + ":" + server.port() + "/cancel/" + requestId)
+                .build())
+        .then(response -> response.loadBody(MAX_CANCEL_RESPONSE_BYTES))
+        .whenComplete(() -> call.stopped().complete(null));
   }
 
   private void begin(
@@ -123,16 +146,22 @@
   }
 
   private static ForwardAnswer failed(BackendCall call, BackendServer server) {
-    return call.neverWritten()
-        ? Answers.notRun(
-            ErrorCode.BACKEND_FAILED, "Backend server " + server.id() + " accepts no connection.")
-        : Answers.mayHaveRun(
-            ErrorCode.BACKEND_FAILED, "Backend server " + server.id() + " did not answer.");
+    ForwardAnswer answer =
+        call.neverWritten()
+            ? Answers.notRun(
+                ErrorCode.BACKEND_FAILED,
+                "Backend server " + server.id() + " accepts no connection.")
+            : Answers.mayHaveRun(
+                ErrorCode.BACKEND_FAILED, "Backend server " + server.id() + " did not answer.");
+    return answer.toBuilder().setBackendServer(server.id().value()).build();
   }
 
   private static ForwardAnswer timedOut(BackendServer server) {
     return Answers.mayHaveRun(
-        ErrorCode.DEADLINE_EXCEEDED,
-        "Backend server " + server.id() + " did not answer before the deadline.");
+            ErrorCode.DEADLINE_EXCEEDED,
+            "Backend server " + server.id() + " did not answer before the deadline.")
+        .toBuilder()
+        .setBackendServer(server.id().value())
+        .build();
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendConnections.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendConnections.java
@@ -63,7 +63,10 @@
     @Override
     public void onConnectError(HttpRequest request, InetSocketAddress address, Exception cause) {
       super.onConnectError(request, address, cause);
-      request.<BackendCall>getAttachment(BackendCall.class).markConnectFailed();
+      BackendCall call = request.getAttachment(BackendCall.class);
+      if (call != null) {
+        call.markConnectFailed();
+      }
     }
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerServlet.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerServlet.java
@@ -1,12 +1,14 @@
 package org.toucanrack.internal.transport.http;
 
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.internal.coordination.limit.RateDecision;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
@@ -14,17 +16,30 @@
 /** Serves the requests of callers on one event loop. */
 final class CallerServlet implements AsyncServlet {
 
+  private static final HttpHeader TICKET = HttpHeaders.of("Toucanrack-Ticket");
   private static final ForwardAnswer BODY_TOO_LARGE =
       Answers.notRun(ErrorCode.BODY_TOO_LARGE, "The body is over the route's limit.");
 
   private final TrafficCollaborators collaborators;
   private final Admission admission;
   private final RequestSender sender;
+  private final TicketDesk tickets;
+  private final ControlServlet control;
+  private final BooleanSupplier closing;
 
-  CallerServlet(TrafficCollaborators collaborators, Admission admission, RequestSender sender) {
+  CallerServlet(
+      TrafficCollaborators collaborators,
+      Admission admission,
+      RequestSender sender,
+      TicketDesk tickets,
+      ControlServlet control,
+      BooleanSupplier closing) {
     this.collaborators = collaborators;
     this.admission = admission;
     this.sender = sender;
+    this.tickets = tickets;
+    this.control = control;
+    this.closing = closing;
   }
 
   @Override
@@ -35,6 +50,9 @@
   }
 
   private Promise<HttpResponse> answer(HttpRequest request, CheckedSocket socket) {
+    if (request.getPath().startsWith(ControlServlet.PATH_PREFIX)) {
+      return Promise.of(control.serve(request));
+    }
     long arrivedNanos = collaborators.clock().getAsLong();
     Admission.Result result = admission.admit(request, arrivedNanos);
     if (result.admitted() == null) {
@@ -50,7 +68,7 @@
                 body.isEmpty()
                     ? Promise.of(refused(request, socket, BODY_TOO_LARGE))
                     : Promise.ofCompletionStage(run(request, admitted.withBody(body.get())))
-                        .map(answer -> answered(admitted, answer)));
+                        .map(answer -> answered(admitted, answer, socket)));
   }
 
   /** A refusal before the body was read ends the connection, since its rest would be in the way. */
@@ -77,23 +95,29 @@
     if (again.admitted() == null) {
       return CompletableFuture.completedFuture(again.refusal());
     }
+    String ticket = request.getHeader(TICKET);
     return collaborators
         .rateLimiter()
         .acquire(admitted.customer(), collaborators.clock().getAsLong())
         .thenCompose(
             decision ->
                 decision.admitted()
-                    ? sender.send(admitted)
+                    ? send(admitted, ticket)
                     : CompletableFuture.completedFuture(limited(decision)));
   }
 
+  private CompletionStage<ForwardAnswer> send(AdmittedRequest admitted, String ticket) {
+    return ticket == null ? sender.send(admitted) : tickets.send(admitted, ticket);
+  }
+
   private static ForwardAnswer limited(RateDecision decision) {
     return CallerResponse.withRetryAfter(
         Answers.notRun(ErrorCode.RATE_EXCEEDED, "The customer's rate is used up. Retry later."),
         decision.retryAfterMillis());
   }
 
-  private HttpResponse answered(AdmittedRequest admitted, ForwardAnswer answer) {
+  private HttpResponse answered(
+      AdmittedRequest admitted, ForwardAnswer answer, CheckedSocket socket) {
     collaborators
         .metrics()
         .finished(
@@ -102,6 +126,10 @@
             answer.getStatus(),
             Answers.verdictOf(answer),
             collaborators.clock().getAsLong() - admitted.arrivedNanos());
-    return CallerResponse.of(answer, false);
+    boolean closes = closing.getAsBoolean();
+    if (closes) {
+      socket.closeAfterResponse();
+    }
+    return CallerResponse.of(answer, closes);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CheckedSocket.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CheckedSocket.java
@@ -34,6 +34,7 @@
   private long timedHeads = -1;
   private ScheduledRunnable timer;
   private boolean serving;
+  private int writing;
   private boolean lastResponse;
   private boolean closed;
 
@@ -62,9 +63,9 @@
     lastResponse = true;
   }
 
-  /** Returns whether no request is being received or served. */
+  /** Returns whether no request is being received or served and no response is being written. */
   boolean idle() {
-    return !serving && check.phase() == FramingCheck.Phase.BETWEEN_REQUESTS;
+    return !serving && writing == 0 && check.phase() == FramingCheck.Phase.BETWEEN_REQUESTS;
   }
 
   @Override
@@ -108,7 +109,8 @@
 
   @Override
   public Promise<Void> write(ByteBuf bytes) {
-    Promise<Void> written = inner.write(bytes);
+    writing++;
+    Promise<Void> written = inner.write(bytes).whenComplete(() -> writing--);
     return lastResponse ? written.whenResult(this::closeAfterDiscarding) : written;
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/DispatchedRequest.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/DispatchedRequest.java
@@ -32,6 +32,8 @@
   private final long deadlineNanos;
   private final Function<BackendServer, BackendClient> clients;
   private final CompletableFuture<ForwardAnswer> answer = new CompletableFuture<>();
+  private volatile boolean cancelled;
+  private volatile Runnable running;
 
   DispatchedRequest(
       TrafficCollaborators collaborators,
@@ -58,10 +60,13 @@
       answer.complete(Answers.notRun(ErrorCode.LEASE_LOST, "This VM may not dispatch now."));
       return;
     }
-    clients
-        .apply(grant.server())
-        .call(grant.server(), request, deadlineNanos)
-        .thenAccept(result -> finish(grant, result));
+    BackendClient client = clients.apply(grant.server());
+    BackendCall call = client.call(grant.server(), request, deadlineNanos);
+    running = () -> client.cancel(call, grant.server(), request.getRequestId());
+    if (cancelled) {
+      running.run();
+    }
+    call.answer().thenAccept(result -> finish(grant, call, result));
   }
 
   @Override
@@ -69,10 +74,27 @@
     answer.complete(Answers.notRun(code, reason));
   }
 
-  private void finish(SlotGrant grant, ForwardAnswer result) {
-    long now = collaborators.clock().getAsLong();
-    dispatcher.release(grant, outcomeOf(result), now);
-    collaborators.versionSelector().observe(observation(grant, result, now));
+  /** Cancels the request in the queue or on its backend server. */
+  void cancel() {
+    cancelled = true;
+    if (!dispatcher.cancel(request.getRequestId(), collaborators.clock().getAsLong())) {
+      Runnable call = running;
+      if (call != null) {
+        call.run();
+      }
+    }
+  }
+
+  /** A cancelled request occupies its slot until the backend server has stopped it. */
+  private void finish(SlotGrant grant, BackendCall call, ForwardAnswer result) {
+    call.stopped()
+        .thenRun(
+            () -> dispatcher.release(grant, outcomeOf(result), collaborators.clock().getAsLong()));
+    if (outcomeOf(result) != SlotOutcome.CANCELLED) {
+      collaborators
+          .versionSelector()
+          .observe(observation(grant, result, collaborators.clock().getAsLong()));
+    }
     answer.complete(result);
   }
 
@@ -93,6 +115,7 @@
     }
     return switch (Answers.codeOf(result)) {
       case OVERLOADED -> SlotOutcome.SHED;
+      case OUTCOME_UNKNOWN -> SlotOutcome.CANCELLED;
       case DEADLINE_EXCEEDED -> SlotOutcome.TIMED_OUT;
       default ->
           result.getVerdict() == VerdictCode.VERDICT_NOT_RUN
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/ForwardHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/ForwardHandler.java
@@ -1,34 +1,49 @@
 package org.toucanrack.internal.transport.http;
 
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import org.toucanrack.id.Incarnation;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 import org.toucanrack.internal.protocol.generated.ForwardRequest;
 import org.toucanrack.internal.protocol.generated.PeerEnvelope;
-import org.toucanrack.internal.transport.peer.PeerTransport.PeerHandler;
 
-/** Runs requests that other VMs forward to this owner. Thread-safe. */
-final class ForwardHandler implements PeerHandler {
+/** Runs requests that other VMs forward to this owner or ticket home. Thread-safe. */
+final class ForwardHandler {
 
   private final TrafficCollaborators collaborators;
   private final OwnerExecutor owner;
+  private final TicketDesk tickets;
 
-  ForwardHandler(TrafficCollaborators collaborators, OwnerExecutor owner) {
+  ForwardHandler(TrafficCollaborators collaborators, OwnerExecutor owner, TicketDesk tickets) {
     this.collaborators = collaborators;
     this.owner = owner;
+    this.tickets = tickets;
   }
 
-  @Override
-  public CompletionStage<PeerEnvelope> handle(Incarnation sender, PeerEnvelope envelope) {
+  void register() {
+    collaborators
+        .peers()
+        .handle(PeerEnvelope.BodyCase.FORWARD_REQUEST, (sender, envelope) -> run(envelope));
+    collaborators
+        .peers()
+        .handle(PeerEnvelope.BodyCase.CANCEL_FORWARD, (sender, envelope) -> cancel(envelope));
+  }
+
+  private CompletionStage<PeerEnvelope> run(PeerEnvelope envelope) {
     ForwardRequest request = envelope.getForwardRequest();
     long deadlineNanos =
         collaborators.clock().getAsLong()
             + TimeUnit.MILLISECONDS.toNanos(request.getDeadlineMillis());
-    return owner.run(request, deadlineNanos).thenApply(ForwardHandler::wrap);
+    CompletionStage<ForwardAnswer> answer =
+        request.getTicket().isEmpty()
+            ? owner.run(request, deadlineNanos, Optional.empty())
+            : tickets.run(request, deadlineNanos);
+    return answer.thenApply(result -> PeerEnvelope.newBuilder().setForwardAnswer(result).build());
   }
 
-  private static PeerEnvelope wrap(ForwardAnswer answer) {
-    return PeerEnvelope.newBuilder().setForwardAnswer(answer).build();
+  private CompletionStage<PeerEnvelope> cancel(PeerEnvelope envelope) {
+    owner.cancel(envelope.getCancelForward().getRequestId());
+    return CompletableFuture.completedFuture(PeerEnvelope.getDefaultInstance());
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/OwnerExecutor.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/OwnerExecutor.java
@@ -13,6 +13,7 @@
 import org.toucanrack.id.VersionId;
 import org.toucanrack.internal.coordination.dispatch.SlotDispatcher;
 import org.toucanrack.internal.coordination.dispatch.SlotRequest;
+import org.toucanrack.internal.coordination.retry.RunningRequests;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 import org.toucanrack.internal.protocol.generated.ForwardRequest;
 
@@ -23,9 +24,12 @@
 final class OwnerExecutor {
 
   private static final double DEFAULT_WEIGHT = 1.0;
+  private static final long LONGEST_DEADLINE_NANOS = 60_000_000_000L;
 
   private final TrafficCollaborators collaborators;
   private final List<BackendClient> clients;
+  private final RunningRequests<DispatchedRequest> running =
+      new RunningRequests<>(LONGEST_DEADLINE_NANOS);
 
   OwnerExecutor(TrafficCollaborators collaborators, List<BackendClient> clients) {
     this.collaborators = collaborators;
@@ -33,26 +37,45 @@
   }
 
   /** Queues and runs the request; the answer never completes exceptionally. */
-  CompletableFuture<ForwardAnswer> run(ForwardRequest request, long deadlineNanos) {
+  CompletableFuture<ForwardAnswer> run(
+      ForwardRequest request, long deadlineNanos, Optional<BackendServerId> avoided) {
     SlotDispatcher dispatcher =
         collaborators.dispatchers().apply(new ServiceId(request.getService()));
     if (dispatcher == null) {
       return CompletableFuture.completedFuture(
           Answers.notRun(ErrorCode.NO_CAPACITY, "This VM owns no backend server of the service."));
     }
+    long now = collaborators.clock().getAsLong();
     DispatchedRequest dispatched =
         new DispatchedRequest(collaborators, dispatcher, request, deadlineNanos, this::clientOf);
-    dispatcher.submit(
-        slotRequest(request, deadlineNanos), dispatched, collaborators.clock().getAsLong());
+    if (!running.start(request.getRequestId(), dispatched, now)) {
+      return CompletableFuture.completedFuture(
+          Answers.notRun(ErrorCode.OUTCOME_UNKNOWN, "The request was cancelled before it came."));
+    }
+    dispatched.answer().whenComplete((answer, e) -> running.finish(request.getRequestId()));
+    dispatcher.submit(slotRequest(request, deadlineNanos, avoided), dispatched, now);
     return dispatched.answer();
   }
 
+  /** Cancels a request; one that has not come yet will not run when it comes. */
+  void cancel(String requestId) {
+    running
+        .cancel(requestId, collaborators.clock().getAsLong())
+        .ifPresent(DispatchedRequest::cancel);
+  }
+
+  /** Returns requests that are queued or running here. */
+  int inFlight() {
+    return running.size();
+  }
+
   /** Uses one event loop for each server, so that its connections stay close to its slots. */
   private BackendClient clientOf(BackendServer server) {
     return clients.get(Math.floorMod(server.id().hashCode(), clients.size()));
   }
 
-  private SlotRequest slotRequest(ForwardRequest request, long deadlineNanos) {
+  private SlotRequest slotRequest(
+      ForwardRequest request, long deadlineNanos, Optional<BackendServerId> avoided) {
     CustomerId customer = new CustomerId(request.getCustomer());
     return new SlotRequest(
         request.getRequestId(),
@@ -60,7 +83,7 @@
         weightOf(customer),
         nonEmpty(request.getVersion()).map(VersionId::new),
         nonEmpty(request.getBackendServer()).map(BackendServerId::new),
-        Optional.empty(),
+        avoided,
         request.getOnlyIfFree(),
         deadlineNanos);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
@@ -5,12 +5,17 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.toucanrack.internal.protocol.generated.PeerEnvelope;
+import org.toucanrack.internal.coordination.routing.ClientBlocks;
 
 /**
  * The callers' port: one event loop accepts, the others carry traffic.
@@ -18,17 +23,26 @@
  * <pre>{@code
  * TrafficServer server = new TrafficServer(settings, collaborators);
  * server.start();
+ * server.drain(timeToLive).join();
+ * server.close();
  * }</pre>
  *
  * <p>Thread-safe after {@link #start}.
  */
 public final class TrafficServer implements AutoCloseable {
 
+  private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(20);
+
   private final List<Eventloop> loops = new ArrayList<>();
-  private final List<Thread> threads = new ArrayList<>();
+  private final List<CallersServer> workers = new ArrayList<>();
+  private final Eventloop acceptor = Eventloop.builder().withThreadName("traffic-accept").build();
   private final PrimaryServer primary;
+  private final OwnerExecutor owner;
+  private volatile Optional<ClientBlocks> clientBlocks = Optional.empty();
+  private volatile boolean draining;
+  private volatile boolean closing;
 
-  /** Creates a server and registers the handler of forwarded requests. */
+  /** Creates a server and registers the handlers of forwarded requests. */
   public TrafficServer(TrafficSettings settings, TrafficCollaborators collaborators) {
     List<BackendClient> clients = new ArrayList<>();
     for (int i = 0; i < settings.threads(); i++) {
@@ -36,34 +50,28 @@
       loops.add(loop);
       clients.add(new BackendClient(loop, collaborators.clock()));
     }
-    OwnerExecutor owner = new OwnerExecutor(collaborators, clients);
-    RequestSender sender = new RequestSender(collaborators, owner);
-    Admission admission = new Admission(collaborators);
+    owner = new OwnerExecutor(collaborators, clients);
+    Routing routing = new Routing(collaborators);
+    AttemptSender attempts = new AttemptSender(collaborators, owner);
+    RequestSender sender = new RequestSender(collaborators, routing, attempts, this::after);
+    TicketDesk tickets = new TicketDesk(collaborators, attempts, sender);
+    ControlServlet control =
+        new ControlServlet(collaborators, routing, tickets, () -> clientBlocks, () -> draining);
+    CallerServlet servlet =
+        new CallerServlet(
+            collaborators, new Admission(collaborators), sender, tickets, control, () -> closing);
     AtomicInteger connections = new AtomicInteger();
-    List<CallersServer> workers = new ArrayList<>();
-    for (Eventloop loop : loops) {
-      workers.add(
-          new CallersServer(
-              loop, new CallerServlet(collaborators, admission, sender), settings, connections));
-    }
-    Eventloop acceptor = Eventloop.builder().withThreadName("traffic-accept").build();
-    loops.add(acceptor);
+    loops.forEach(loop -> workers.add(new CallersServer(loop, servlet, settings, connections)));
     primary = PrimaryServer.builder(acceptor, workers).withListenAddress(settings.listen()).build();
-    collaborators
-        .peers()
-        .handle(PeerEnvelope.BodyCase.FORWARD_REQUEST, new ForwardHandler(collaborators, owner));
+    new ForwardHandler(collaborators, owner, tickets).register();
   }
 
   /** Starts the event loops and listens. */
   public void start() {
-    for (Eventloop loop : loops) {
-      loop.keepAlive(true);
-      Thread thread = new Thread(loop, "traffic");
-      thread.setDaemon(true);
-      thread.start();
-      threads.add(thread);
-    }
-    onAcceptor(
+    loops.forEach(TrafficServer::run);
+    run(acceptor);
+    onLoop(
+        acceptor,
         () -> {
           try {
             primary.listen();
@@ -78,20 +86,69 @@
     return primary.getBoundAddresses().get(0);
   }
 
+  /** Replaces the table of client blocks that look-ups use. */
+  public void useClientBlocks(ClientBlocks blocks) {
+    clientBlocks = Optional.of(blocks);
+  }
+
+  /**
+   * Stops on plan: look-ups no longer name this VM, which goes on serving for the time to live of
+   * earlier answers and then until all requests in flight have ended. The result completes when
+   * nothing is in flight; call {@link #close} then.
+   */
+  public CompletableFuture<Void> drain(Duration timeToLive) {
+    draining = true;
+    CompletableFuture<Void> drained = new CompletableFuture<>();
+    CompletableFuture.delayedExecutor(timeToLive.toNanos(), TimeUnit.NANOSECONDS)
+        .execute(
+            () -> {
+              closing = true;
+              onLoop(acceptor, primary::close);
+              awaitIdle(drained);
+            });
+    return drained;
+  }
+
+  private void awaitIdle(CompletableFuture<Void> drained) {
+    AtomicInteger open = new AtomicInteger(owner.inFlight());
+    workers.forEach(
+        worker -> onLoop(worker.getReactor(), () -> open.addAndGet(worker.closeIdle())));
+    if (open.get() == 0) {
+      drained.complete(null);
+    } else {
+      CompletableFuture.delayedExecutor(DRAIN_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
+          .execute(() -> awaitIdle(drained));
+    }
+  }
+
   @Override
   public void close() {
-    onAcceptor(primary::close);
-    for (Eventloop loop : loops) {
-      loop.keepAlive(false);
-      loop.execute(loop::breakEventloop);
-    }
+    onLoop(acceptor, primary::close);
+    stop(acceptor);
+    loops.forEach(TrafficServer::stop);
+  }
+
+  private void after(long delayNanos, Runnable action) {
+    Eventloop loop = loops.get(ThreadLocalRandom.current().nextInt(loops.size()));
+    long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(delayNanos));
+    loop.execute(() -> loop.delayBackground(millis, action));
+  }
+
+  private static void run(Eventloop loop) {
+    loop.keepAlive(true);
+    Thread thread = new Thread(loop, "traffic");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private static void stop(Eventloop loop) {
+    loop.keepAlive(false);
+    loop.execute(loop::breakEventloop);
   }
 
-  private void onAcceptor(Runnable action) {
-    CompletableFuture<Void> done =
-        CompletableFuture.runAsync(action, loops.get(loops.size() - 1)::execute);
+  private static void onLoop(Executor loop, Runnable action) {
     try {
-      done.get();
+      CompletableFuture.runAsync(action, loop).get();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new IllegalStateException("Interrupted while the callers' port changed state.", e);
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PeerSettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PeerSettings.java
@@ -13,8 +13,7 @@
  * @param secret shared by all VMs of the deployment
  * @param limits bounds and timeouts
  */
-public record PeerSettings(
-    Member self, InetSocketAddress listen, String secret, Limits limits) {
+public record PeerSettings(Member self, InetSocketAddress listen, String secret, Limits limits) {
 
   /** Listens on the address that peers are told. */
   public PeerSettings(Member self, String secret, Limits limits) {
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/routing/DestinationChooserTest.java
@@ -0,0 +1,183 @@
+package org.toucanrack.internal.coordination.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.configuration.Configuration;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.Region;
+import org.toucanrack.configuration.RegionLink;
+import org.toucanrack.configuration.Rules;
+import org.toucanrack.configuration.ShiftRule;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.id.VmId;
+import org.toucanrack.internal.coordination.move.ShiftGate;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.KeyFreshness;
+import org.toucanrack.internal.state.LeaseView;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.state.Ownership;
+import org.toucanrack.internal.state.TrafficSplit;
+
+/** Guards against shifts that overload a region, its link or the cap. */
+class DestinationChooserTest {
+
+  private static final ServiceId SHOP = new ServiceId("shop");
+  private static final VersionId V1 = new VersionId("v1");
+  private static final FailureDomainId HOME = new FailureDomainId("a1");
+  private static final FailureDomainId NEAR = new FailureDomainId("a2");
+  private static final FailureDomainId FAR = new FailureDomainId("b1");
+  private static final long LINK_BITS = 8_000_000;
+
+  private final OwnerLoads loads = new OwnerLoads();
+  private final LinkBudgets links = new LinkBudgets();
+  private final Random random = new Random(1);
+  private boolean gateOpen = true;
+  private final DestinationChooser chooser =
+      new DestinationChooser(loads, links, new Gate(), random::nextDouble);
+
+  @Test
+  void staysInItsFailureDomainAndSpillsToTheNearestOnlyIntoFreeSlots() {
+    RoutingIndex index = index();
+
+    assertEquals(owner(HOME, false), choose(index, Set.of(), List.of()));
+    assertEquals(owner(NEAR, true), choose(index, Set.of(vm(HOME)), List.of()));
+    assertEquals(owner(FAR, true), choose(index, Set.of(vm(HOME), vm(NEAR)), List.of()));
+  }
+
+  @Test
+  void refusesShiftsOverTheCap() {
+    RoutingIndex index = index();
+    gateOpen = false;
+
+    Destination refused = choose(index, Set.of(vm(HOME)), List.of());
+
+    assertEquals(ErrorCode.SHIFT_CAP_REACHED, ((Destination.None) refused).code());
+  }
+
+  @Test
+  void followsSplitsOfMovesWithoutTheGate() {
+    RoutingIndex index = index();
+    gateOpen = false;
+    List<TrafficSplit> splits = List.of(new TrafficSplit(SHOP, HOME, Map.of(NEAR, 0.3)));
+
+    long moved =
+        random
+            .doubles(2000)
+            .mapToObj(point -> choose(index, Set.of(), splits))
+            .filter(owner(NEAR, false)::equals)
+            .count();
+
+    assertEquals(0.3, moved / 2000.0, 0.05);
+  }
+
+  @Test
+  void keepsCrossRegionTrafficWithinTheShareOfTheLink() {
+    RoutingIndex index = index();
+    int sentBytes = 0;
+    for (int i = 0; i < 1000; i++) {
+      RoutingRequest request =
+          new RoutingRequest(SHOP, V1, 10_000, Set.of(vm(HOME), vm(NEAR)), i * 1_000_000L);
+      if (chooser.choose(request, index, List.of(), HOME) instanceof Destination.Owner) {
+        sentBytes += 10_000;
+      }
+    }
+
+    long capacityOfOneSecond = LINK_BITS / 8;
+    assertTrue(sentBytes > 100_000 && sentBytes < capacityOfOneSecond / 2, sentBytes + " bytes");
+  }
+
+  @Test
+  void avoidsOwnersThatRefusedAndPrefersTheLessLoaded() {
+    RoutingIndex index = index();
+    loads.begin(vm(HOME), SHOP);
+    loads.end(vm(HOME), SHOP, ErrorCode.OWNER_UNREACHABLE, 0);
+
+    assertEquals(owner(NEAR, true), choose(index, Set.of(), List.of()));
+  }
+
+  private Destination choose(
+      RoutingIndex index, Set<Incarnation> excluded, List<TrafficSplit> splits) {
+    return chooser.choose(new RoutingRequest(SHOP, V1, 0, excluded, 0), index, splits, HOME);
+  }
+
+  private Destination owner(FailureDomainId domain, boolean onlyIfFree) {
+    return new Destination.Owner(member(domain), onlyIfFree);
+  }
+
+  private RoutingIndex index() {
+    Map<Incarnation, Member> members = new HashMap<>();
+    Map<BackendServerId, Incarnation> owners = new HashMap<>();
+    List<FailureDomainId> domains = List.of(HOME, NEAR, FAR);
+    domains.forEach(domain -> members.put(vm(domain), member(domain)));
+    domains.forEach(domain -> owners.put(server(domain).id(), vm(domain)));
+    RegionId first = new RegionId("a");
+    RegionId second = new RegionId("b");
+    Deployment deployment =
+        new Deployment(
+            "test",
+            List.of(new Region(first, List.of(HOME, NEAR)), new Region(second, List.of(FAR))),
+            List.of(new RegionLink(first, second, LINK_BITS)),
+            List.of(),
+            List.of(),
+            domains.stream().map(DestinationChooserTest::server).toList(),
+            List.of(),
+            new Rules(
+                new ShiftRule(0.1, Duration.ofSeconds(10)),
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(4)));
+    ControlSnapshot snapshot =
+        new ControlSnapshot(
+            member(HOME),
+            Optional.of(new Configuration(1, deployment, List.of())),
+            members,
+            new Ownership(owners, Map.of()),
+            new LeaseView(0, false, 0),
+            new KeyFreshness(0),
+            List.of(),
+            List.of(),
+            true);
+    RoutingIndex index = new RoutingIndex(snapshot);
+    links.update(snapshot, index, 0);
+    return index;
+  }
+
+  private static BackendServer server(FailureDomainId domain) {
+    return new BackendServer(
+        new BackendServerId("s-" + domain.value()), SHOP, V1, domain, "127.0.0.1", 1, 3, 9);
+  }
+
+  private static Incarnation vm(FailureDomainId domain) {
+    return new Incarnation(new VmId("vm-" + domain.value()), 1);
+  }
+
+  private static Member member(FailureDomainId domain) {
+    return new Member(vm(domain), domain, "callers", "peers", false);
+  }
+
+  private final class Gate implements ShiftGate {
+    @Override
+    public void arrived(ServiceId service, long nowNanos) {}
+
+    @Override
+    public boolean tryShift(
+        ServiceId service, FailureDomainId from, FailureDomainId to, long nowNanos) {
+      return gateOpen;
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/ticket/TicketRegisterTest.java
@@ -0,0 +1,86 @@
+package org.toucanrack.internal.coordination.ticket;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.Verdict;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.VmId;
+
+/** Guards against a ticket that runs twice, also when its record has expired. */
+class TicketRegisterTest {
+
+  private static final Incarnation SELF = new Incarnation(new VmId("vm.dotted"), 0xABC);
+
+  private final TicketRegister<String> register =
+      new TicketRegister<>(SELF, new byte[] {1, 2, 3}, String::length, 0);
+
+  private TicketId issue(long now) {
+    return TicketId.parse(register.issue(now)).orElseThrow();
+  }
+
+  @Test
+  void handsOutTheFirstUseOnceToManyThreads() throws Exception {
+    TicketId ticket = issue(0);
+    AtomicInteger firsts = new AtomicInteger();
+    ExecutorService threads = Executors.newFixedThreadPool(8);
+    for (int i = 0; i < 200; i++) {
+      threads.submit(
+          () -> {
+            if (register.use(ticket, "f", 1) instanceof TicketUse.First) {
+              firsts.incrementAndGet();
+              register.complete(ticket, Verdict.MAY_HAVE_RUN, "lost");
+            }
+          });
+    }
+    threads.shutdown();
+
+    assertTrue(threads.awaitTermination(10, TimeUnit.SECONDS));
+    assertEquals(1, firsts.get());
+  }
+
+  @Test
+  void neverRunsAnExpiredTicketAgain() {
+    TicketId ticket = issue(0);
+    register.use(ticket, "f", 1);
+    register.complete(ticket, Verdict.RAN, "done");
+    long lastMoment = TicketRegister.LIFETIME_NANOS;
+
+    assertInstanceOf(TicketUse.Repeat.class, register.use(ticket, "f", lastMoment));
+    TicketUse<String> expired = register.use(ticket, "f", 3 * TicketRegister.LIFETIME_NANOS);
+    assertEquals(Verdict.MAY_HAVE_RUN, ((TicketUse.Refused<String>) expired).verdict());
+  }
+
+  @Test
+  void becomesUnusedAgainOnlyAfterNotRun() {
+    TicketId ticket = issue(0);
+    register.use(ticket, "f", 1);
+    register.complete(ticket, Verdict.NOT_RUN, "shed");
+
+    assertInstanceOf(TicketUse.First.class, register.use(ticket, "other", 2));
+    register.complete(ticket, Verdict.MAY_HAVE_RUN, "lost");
+    assertInstanceOf(TicketUse.Repeat.class, register.use(ticket, "other", 3));
+  }
+
+  @Test
+  void refusesForgedTicketsAndThoseOfAnotherIncarnation() {
+    TicketId ticket = issue(0);
+    TicketId forged = new TicketId(SELF, ticket.sequence() + 1, ticket.mac());
+    TicketId earlier = new TicketId(new Incarnation(SELF.vm(), 1), 1, ticket.mac());
+
+    assertEquals(ErrorCode.TICKET_UNKNOWN, refusal(forged).code());
+    assertEquals(ErrorCode.TICKET_HOME_LOST, refusal(earlier).code());
+    assertEquals(Verdict.MAY_HAVE_RUN, refusal(earlier).verdict());
+  }
+
+  private TicketUse.Refused<String> refusal(TicketId ticket) {
+    return (TicketUse.Refused<String>) register.use(ticket, "f", 1);
+  }
+}
