--- a/bench/src/main/java/org/toucanrack/bench/latency/LatencyCommand.java
+++ b/bench/src/main/java/org/toucanrack/bench/latency/LatencyCommand.java
@@ -115,7 +115,6 @@
   private Map<String, Object> describe(double idleCpuPerSecond) {
     Series entrySeries = entry.all();
     Series directSeries = direct.all();
-    double loadCpu = cpuSeconds - idleCpuPerSecond * busySeconds;
     Map<String, Object> result = new LinkedHashMap<>();
     result.put("sent", entrySeries.sent());
     result.put("answered", entrySeries.count(Outcome.ANSWERED));
@@ -130,6 +129,7 @@
     }
     result.put("idleCpuShareOfAllEntryVms", idleCpuPerSecond);
     result.put("requestsPerCpuSecond", entrySeries.sent() / cpuSeconds);
+    double loadCpu = cpuSeconds - idleCpuPerSecond * busySeconds;
     result.put("requestsPerCpuSecondWithoutIdle", entrySeries.sent() / loadCpu);
     return result;
   }
--- a/bench/src/main/java/org/toucanrack/bench/layout/Layout.java
+++ b/bench/src/main/java/org/toucanrack/bench/layout/Layout.java
@@ -74,9 +74,9 @@
               domain.value() + "-" + (i / domains.size() + 1),
               deployment.regionOf(domain).orElseThrow().value(),
               domain.value(),
-              address(CALLERS_PORT + i),
-              address(OPERATORS_PORT + i),
-              address(PEERS_PORT + i),
+              local(CALLERS_PORT + i),
+              local(OPERATORS_PORT + i),
+              local(PEERS_PORT + i),
               "http://" + platformOf(place)));
     }
     return entries;
@@ -87,7 +87,7 @@
    * its own, so that the platform can refuse one domain.
    */
   public List<String> platform() {
-    List<String> addresses = new ArrayList<>(List.of(address(PLATFORM_PORT)));
+    List<String> addresses = new ArrayList<>(List.of(local(PLATFORM_PORT)));
     for (int i = 0; i < deployment.failureDomains().size(); i++) {
       addresses.add(platformOf(i));
     }
@@ -95,7 +95,7 @@
   }
 
   private String platformOf(int domainPlace) {
-    return address(PLATFORM_PORT + 1 + domainPlace);
+    return local(PLATFORM_PORT + 1 + domainPlace);
   }
 
   /** Returns the backend servers of each service. */
@@ -161,7 +161,7 @@
     return deployment.regions();
   }
 
-  private String address(int port) {
+  private String local(int port) {
     return "127.0.0.1:" + (port + offset);
   }
 }
--- a/bench/src/main/java/org/toucanrack/bench/load/OpenLoop.java
+++ b/bench/src/main/java/org/toucanrack/bench/load/OpenLoop.java
@@ -48,7 +48,7 @@
     while (open.get() > 0 && System.nanoTime() - end < 0) {
       Thread.sleep(POLL_MILLIS);
     }
-    recorder.unfinished(open.get());
+    recorder.recordUnfinished(open.get());
   }
 
   private static void sleepUntil(long nanos) throws InterruptedException {
