Keep rates as escrow with loans that end

Cause: a borrower's cache next to a full bucket of the giver admitted more than rate x t + burst. Conclusion: 11 limiter tests pass.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/EscrowAccount.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/EscrowAccount.java
@@ -51,16 +51,6 @@
     limit();
   }
 
-  /** Takes one token to admit a request on this VM. */
-  boolean tryTake(long nowNanos) {
-    accrue(nowNanos);
-    if (tokens < 1 - ROUNDING_TOKENS) {
-      return false;
-    }
-    tokens = Math.max(0, tokens - 1);
-    return true;
-  }
-
   /** Lends up to the wanted tokens, at most half of those held, and subtracts them at once. */
   double lend(double wanted, long nowNanos) {
     accrue(nowNanos);
@@ -85,15 +75,10 @@
     return tokens;
   }
 
-  double tokensPerSecond() {
-    return tokensPerSecond;
-  }
-
   private void accrue(long nowNanos) {
     while (!loans.isEmpty() && nowNanos - loans.peekFirst().endsNanos() >= 0) {
-      Loan ended = loans.removeFirst();
-      accrueUntil(ended.endsNanos());
-      lent -= ended.tokens();
+      accrueUntil(loans.peekFirst().endsNanos());
+      lent -= loans.removeFirst().tokens();
     }
     accrueUntil(nowNanos);
   }
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/limit/EscrowRateLimiterTest.java
@@ -0,0 +1,178 @@
+package org.toucanrack.internal.coordination.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.toucanrack.internal.coordination.limit.LimitSimulation.DOMAINS;
+import static org.toucanrack.internal.coordination.limit.LimitSimulation.MILLI;
+import static org.toucanrack.internal.coordination.limit.LimitSimulation.SECOND;
+
+import java.util.List;
+import java.util.Random;
+import java.util.function.IntSupplier;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.VmId;
+
+/** Guards against rate excess over all VMs and against refusals within the rate. */
+class EscrowRateLimiterTest {
+
+  private static final int VMS = 10;
+  private static final long WARM_UP_NANOS = 4 * SECOND;
+
+  @Property(tries = 150)
+  void admitsAtMostRateAndBurstUnderLossDuplicatesRestartsAndHandovers(@ForAll long seed) {
+    Random random = new Random(seed);
+    double rate = 20 + random.nextInt(200);
+    double burst = rate * (0.1 + random.nextDouble());
+    LimitSimulation simulation = new LimitSimulation(random, VMS, rate, Math.max(1, burst));
+    simulation.lossChance = random.nextInt(3) * 0.1;
+    simulation.duplicateChance = random.nextInt(3) * 0.2;
+    long end = 4 * SECOND;
+    simulation.tickEvery(10 * MILLI, end);
+    for (int change = 0; change < 10; change++) {
+      scheduleChange(simulation, random, end);
+    }
+
+    bursts(simulation, random, rate, end);
+    simulation.runUntil(end);
+
+    assertTrue(simulation.keepsRate(), "rate " + rate + ", burst " + burst);
+    assertTrue(burst < 2 * DOMAINS || !simulation.admitted.isEmpty());
+  }
+
+  @Test
+  void admitsWholeRateWhenAllTrafficArrivesAtOneVm() {
+    assertRefusedBelow(0.001, run(300, 300, () -> 7, 0.9));
+  }
+
+  @Test
+  void admitsWholeRateOfLargeCustomerAtOneVmThatOwnsShare() {
+    assertRefusedBelow(0.001, run(3000, 1500, () -> 0, 0.9));
+  }
+
+  @Test
+  void admitsWholeRateWhenTrafficIsSpreadOverAllVms() {
+    Random random = new Random(5);
+    assertRefusedBelow(0.001, run(300, 300, () -> random.nextInt(VMS), 0.9));
+  }
+
+  @Test
+  void admitsRateOfSmallCustomerSpreadOverAllVms() {
+    Random random = new Random(6);
+    assertRefusedBelow(0.001, run(20, 40, () -> random.nextInt(VMS), 0.8));
+  }
+
+  @Test
+  void refusesFewRequestsWithinRateWhenOneVmIsKilled() {
+    Random random = new Random(7);
+    LimitSimulation simulation = prepared(300, 300, () -> 6 + random.nextInt(4), 0.75);
+    simulation.at(6 * SECOND, () -> simulation.kill(2));
+    simulation.at(16 * SECOND, () -> simulation.handOver(2, 8));
+    assertRefusedBelow(0.01, finish(simulation));
+  }
+
+  @Test
+  void losesUnspentLoansInsteadOfKeepingThem() {
+    BorrowedTokens borrowed = new BorrowedTokens();
+    borrowed.add(3, 0, 10 * MILLI);
+
+    assertEquals(3, borrowed.available(199 * MILLI));
+    assertEquals(0, borrowed.available(200 * MILLI));
+  }
+
+  @Test
+  void keepsLoansOutOfTheBurstUntilTheyEnd() {
+    EscrowAccount account = new EscrowAccount(10, 10, 0);
+    double full = account.available(5 * SECOND);
+    account.lend(4, 5 * SECOND);
+
+    assertEquals(10, full, 1e-9);
+    assertEquals(6, account.available(5 * SECOND + 200 * MILLI), 1e-9);
+    assertEquals(10, account.available(7 * SECOND), 1e-9);
+  }
+
+  @Test
+  void asksEachGiverOnceAtTimeAndForBoundedTokens() {
+    Incarnation giver = new Incarnation(new VmId("vm1"), 1);
+    Borrower borrower = new Borrower(new CustomerShare(10, 10, false, List.of(giver)));
+
+    assertEquals(5, borrower.plan(100, 9, 0).get(0).tokens());
+    assertTrue(borrower.plan(100, 9, MILLI).isEmpty());
+  }
+
+  @Test
+  void newOwnerHoldsNothingWhileLoansOfThePreviousOwnerMayBeSpent() {
+    EscrowAccount account = new EscrowAccount(10, 10, 0);
+
+    assertEquals(0, account.available(EscrowAccount.LOAN_LIFETIME_NANOS));
+    assertEquals(1, account.available(EscrowAccount.LOAN_RESERVATION_NANOS + 100 * MILLI), 1e-9);
+  }
+
+  @Test
+  void doesNotAskGiverAgainSoonAfterItDidNotAnswer() {
+    Incarnation giver = new Incarnation(new VmId("vm1"), 1);
+    Borrower borrower = new Borrower(new CustomerShare(10, 10, false, List.of(giver)));
+    borrower.plan(1, 9, 0);
+
+    borrower.expire(GiverState.CALL_TIMEOUT_NANOS);
+
+    assertTrue(borrower.plan(1, 9, 500 * MILLI).isEmpty());
+    assertEquals(1, borrower.plan(1, 9, 1100 * MILLI).size());
+  }
+
+  private static void scheduleChange(LimitSimulation simulation, Random random, long end) {
+    long time = (long) (random.nextDouble() * end);
+    int vm = random.nextInt(VMS);
+    if (random.nextBoolean()) {
+      simulation.at(time, () -> simulation.restart(vm));
+    } else {
+      simulation.at(time, () -> simulation.handOver(random.nextInt(DOMAINS), vm));
+    }
+  }
+
+  /** Alternates idle spans, in which buckets fill, with several times the rate. */
+  private static void bursts(LimitSimulation simulation, Random random, double rate, long end) {
+    long time = 0;
+    while (time < end) {
+      time += random.nextInt(800) * MILLI;
+      int count = random.nextInt((int) rate * 2);
+      for (int copy = 0; copy < count; copy++) {
+        time += (long) (random.nextDouble() * SECOND / rate / 2);
+        int vm = random.nextInt(VMS);
+        simulation.at(time, () -> simulation.request(vm));
+      }
+    }
+  }
+
+  private static LimitSimulation run(double rate, double burst, IntSupplier vms, double load) {
+    return finish(prepared(rate, burst, vms, load));
+  }
+
+  private static LimitSimulation prepared(double rate, double burst, IntSupplier vms, double load) {
+    Random random = new Random(42);
+    LimitSimulation simulation = new LimitSimulation(random, VMS, rate, burst);
+    simulation.tickEvery(10 * MILLI, 30 * SECOND);
+    double time = WARM_UP_NANOS;
+    while (time < 24 * SECOND) {
+      time += -Math.log(1 - random.nextDouble()) * SECOND / (rate * load);
+      int vm = vms.getAsInt();
+      simulation.at((long) time, () -> simulation.request(vm));
+    }
+    return simulation;
+  }
+
+  private static LimitSimulation finish(LimitSimulation simulation) {
+    simulation.runUntil(30 * SECOND);
+    return simulation;
+  }
+
+  private static void assertRefusedBelow(double limit, LimitSimulation simulation) {
+    double total = simulation.refused + simulation.admitted.size();
+    String figures = simulation.refused + " refused of " + total;
+    System.out.println("[limit test] " + figures);
+    assertTrue(simulation.refused / total < limit, figures);
+    assertTrue(simulation.keepsRate());
+  }
+}
