--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
@@ -0,0 +1,105 @@
+package org.toucanrack.internal.serve;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongPredicate;
+import java.util.stream.Collectors;
+import org.toucanrack.configuration.Service;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.coordination.dispatch.FairSlotDispatcher;
+import org.toucanrack.internal.coordination.dispatch.OwnedServer;
+import org.toucanrack.internal.coordination.lease.ResourceId;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.ResourceGrant;
+import org.toucanrack.internal.transport.health.BackendHealth;
+
+/**
+ * Holds the dispatcher of each service and keeps it in step with the ownership.
+ *
+ * <p>Invariant: a dispatcher has a backend server only while the newest snapshot grants it with an
+ * epoch above the last one that was stopped. Thread-safe.
+ */
+final class ServiceDispatchers {
+
+  private final Map<ServiceId, FairSlotDispatcher> dispatchers = new ConcurrentHashMap<>();
+  private final Map<BackendServerId, Long> stoppedEpochs = new HashMap<>();
+  private final LongPredicate permitsDispatch;
+  private Optional<ControlSnapshot> newest = Optional.empty();
+  private Map<BackendServerId, BackendHealth> newestHealth = Map.of();
+
+  ServiceDispatchers(LongPredicate permitsDispatch) {
+    this.permitsDispatch = permitsDispatch;
+  }
+
+  /** Returns the dispatcher of a service, or null if there is none. */
+  FairSlotDispatcher find(ServiceId service) {
+    return dispatchers.get(service);
+  }
+
+  /** Adopts the ownership of a snapshot. */
+  synchronized void update(ControlSnapshot snapshot, long nowNanos) {
+    newest = Optional.of(snapshot);
+    apply(nowNanos);
+  }
+
+  /** Adopts what backend servers say of themselves. */
+  synchronized void update(Map<BackendServerId, BackendHealth> health, long nowNanos) {
+    newestHealth = health;
+    apply(nowNanos);
+  }
+
+  /**
+   * Stops the use of a backend server and returns whether its last request has ended. It is used
+   * again when a snapshot grants it with a higher epoch.
+   */
+  synchronized boolean stop(ResourceId resource, long epoch, long nowNanos) {
+    if (resource.backendServer().isEmpty()) {
+      return true;
+    }
+    BackendServerId server = resource.backendServer().get();
+    stoppedEpochs.merge(server, epoch, Math::max);
+    apply(nowNanos);
+    return dispatchers.values().stream().allMatch(dispatcher -> isIdle(dispatcher, server));
+  }
+
+  /** Refuses queued requests whose deadline has passed. */
+  void expire(long nowNanos) {
+    dispatchers.values().forEach(dispatcher -> dispatcher.expire(nowNanos));
+  }
+
+  private static boolean isIdle(FairSlotDispatcher dispatcher, BackendServerId server) {
+    AtomicBoolean idle = new AtomicBoolean();
+    dispatcher.whenIdle(server, () -> idle.set(true));
+    return idle.get();
+  }
+
+  private void apply(long nowNanos) {
+    newest
+        .filter(snapshot -> snapshot.configuration().isPresent())
+        .ifPresent(snapshot -> apply(snapshot, nowNanos));
+  }
+
+  private void apply(ControlSnapshot snapshot, long nowNanos) {
+    OwnedServerList list = new OwnedServerList(snapshot, newestHealth, this::isUsable);
+    Map<ServiceId, List<OwnedServer>> owned =
+        list.servers().stream().collect(Collectors.groupingBy(server -> server.server().service()));
+    for (Service service : snapshot.configuration().orElseThrow().deployment().services()) {
+      dispatchers
+          .computeIfAbsent(service.id(), id -> create(service))
+          .update(owned.getOrDefault(service.id(), List.of()), nowNanos);
+    }
+  }
+
+  private boolean isUsable(BackendServerId server, ResourceGrant grant) {
+    return grant.epoch() > stoppedEpochs.getOrDefault(server, Long.MIN_VALUE);
+  }
+
+  private FairSlotDispatcher create(Service service) {
+    return new FairSlotDispatcher(service.maxQueueLength(), permitsDispatch);
+  }
+}
