Let a drain's flag win over the variable of the other flag

Change: a target given as a flag wins over a target from the environment. Conclusion: drain works on machines of entry VMs.

--- a/toucanrack/src/main/java/org/toucanrack/internal/command/DrainCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/DrainCommand.java
@@ -72,9 +72,14 @@
     return ExitCode.DONE;
   }
 
+  /**
+   * A flag wins over the variable of the other flag: on a machine of an entry VM, the environment
+   * names that VM.
+   */
   private static Optional<Target> target(Settings settings) {
-    boolean server = settings.optional(BACKEND_SERVER).isPresent();
-    if (server == settings.optional(VM).isPresent()) {
+    boolean byFlag = settings.isOnCommandLine(BACKEND_SERVER) || settings.isOnCommandLine(VM);
+    boolean server = isNamed(settings, BACKEND_SERVER, byFlag);
+    if (server == isNamed(settings, VM, byFlag)) {
       settings.fault("Give either %s or %s.".formatted(BACKEND_SERVER, VM));
       return Optional.empty();
     }
@@ -85,6 +90,10 @@
         : settings.checked(VM, VmId::new).map(id -> new Target("vm", id.value()));
   }
 
+  private static boolean isNamed(Settings settings, Flag flag, boolean byFlag) {
+    return byFlag ? settings.isOnCommandLine(flag) : settings.optional(flag).isPresent();
+  }
+
   private static String drain(
       Platform platform, Target target, Optional<Row> before, String operator) {
     if (before.isPresent()) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/Settings.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Settings.java
@@ -77,6 +77,11 @@
     return value.orElse("");
   }
 
+  /** Returns whether the flag is on the command line, whatever the environment says. */
+  boolean isOnCommandLine(Flag flag) {
+    return commandLine.hasOption(flag.name());
+  }
+
   String operator() {
     return optional(CommonFlags.OPERATOR).orElse(System.getProperty("user.name", "unknown"));
   }
--- a/toucanrack/src/test/java/org/toucanrack/internal/command/ProgramTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/command/ProgramTest.java
@@ -164,6 +164,17 @@
     Approvals.verify(output());
   }
 
+  @Test
+  void drainsTheServerOfTheFlagWhenTheEnvironmentNamesVm() {
+    run("apply", "-f", SAHA);
+    Map<String, String> environment = Map.of("TOUCANRACK_VM", "vm-1");
+
+    ExitCode code = run(environment, "drain", "--backend-server", "dutyview-amman-a-1");
+
+    assertEquals(ExitCode.DONE, code);
+    assertTrue(output().contains("backend-server 'dutyview-amman-a-1' is being drained."));
+  }
+
   @Test
   void startsShowsAndAbortsMovesWithinTheRule() {
     run("apply", "-f", SAHA);
