Wait for requests in flight on a planned stop; measure drain at the busiest server

Cause: of ten process scenarios two failed. Ruled out: the limiter and the drain; the reads went to /load, which is the load endpoint of the backend server itself, and the drained server had no work before. Change: the scenarios use /spend and the busiest server; PlannedStop waits for the traffic server's drain, bounded by the longest route timeout.

--- a/scenarios/src/test/java/org/toucanrack/scenarios/RequestSteps.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/RequestSteps.java
@@ -10,11 +10,13 @@
 import io.cucumber.java.en.When;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.toucanrack.scenarios.fleet.Caller;
 import org.toucanrack.scenarios.fleet.Fleet;
 
@@ -28,7 +30,7 @@
   private final List<String> killed = new ArrayList<>();
   private long loadStartNanos;
   private long loadEndNanos;
-  private long ranAtDrain;
+  private int drained;
 
   @Given("a deployment in which each customer may send {int} requests per second")
   public void startDeployment(int requestsPerSecond) {
@@ -78,7 +80,8 @@
   }
 
   @When(
-      "entry VM {string} is paused for {int} seconds while {string} sends {int} reads to {string} and {string}")
+      "entry VM {string} is paused for {int} seconds while {string} sends {int} reads to"
+          + " {string} and {string}")
   public void pauseVm(
       String paused, int seconds, String customer, int reads, String first, String second) {
     world.fleet().vm(paused).pause();
@@ -109,23 +112,30 @@
     loadStartNanos = System.nanoTime();
     for (int i = 0; i < perSecond * seconds; i++) {
       String vm = vms.get(i % vms.size());
-      world.send(vm, "GET", "/catalogue/load", world.key(customer), Optional.empty());
+      world.send(vm, "GET", "/catalogue/spend", world.key(customer), Optional.empty());
       Fleet.pause(1000 / perSecond);
     }
     world.settle();
     loadEndNanos = System.nanoTime();
   }
 
-  @When("backend server {int} starts to drain while {string} sends reads for {int} seconds")
-  public void drainBackend(int number, String customer, int seconds) {
-    sendReads(customer, 1);
-    world.fleet().controlBackend(number - 1, "{\"draining\":true}");
-    sendReads(customer, 3);
-    ranAtDrain = world.fleet().ran(number - 1).path("ran").asLong();
-    sendReads(customer, seconds - 3);
+  @When("the busiest backend server starts to drain while {string} sends reads for {int} seconds")
+  public void drainBackend(String customer, int seconds) {
+    sendReads(customer, 2);
+    drained = busiestServer();
+    world.fleet().controlBackend(drained, "{\"draining\":true}");
+    sendReads(customer, seconds);
     world.settle();
   }
 
+  private int busiestServer() {
+    List<JsonNode> records = world.fleet().ran();
+    return IntStream.range(0, records.size())
+        .boxed()
+        .max(Comparator.comparingLong(index -> records.get(index).path("ran").asLong()))
+        .orElseThrow();
+  }
+
   private void sendReads(String customer, int seconds) {
     List<String> vms = world.fleet().vmNames();
     for (int i = 0; i < seconds * 50; i++) {
@@ -217,15 +227,17 @@
 
   private long served() {
     return world.caller().answers().stream()
-        .filter(answer -> answer.body().contains("/load"))
+        .filter(answer -> answer.body().contains("/spend"))
         .filter(Caller.Answer::isServed)
         .count();
   }
 
-  @Then("backend server {int} ran nothing later than 3 seconds after")
-  public void drainedServerIsIdle(int number) {
-    assertEquals(ranAtDrain, world.fleet().ran(number - 1).path("ran").asLong());
-    assertTrue(ranAtDrain > 0, "the server had work before it drained");
+  @Then("it started nothing later than {int} seconds after")
+  public void drainedServerIsIdle(int seconds) {
+    JsonNode record = world.fleet().ran(drained);
+    assertTrue(record.path("ran").asLong() > 0, "the server had work before: " + record);
+    long lastStartMillis = record.path("lastStartAfterDrainMillis").asLong();
+    assertTrue(lastStartMillis <= Duration.ofSeconds(seconds).toMillis(), record.toString());
   }
 
   @Then("all its requests were served")
--- a/scenarios/src/test/resources/org/toucanrack/scenarios/requests.feature
+++ b/scenarios/src/test/resources/org/toucanrack/scenarios/requests.feature
@@ -29,8 +29,8 @@
 
   Scenario: A leaving backend server gets no new work
     Given a deployment in which each customer may send 200 requests per second
-    When backend server 1 starts to drain while "press" sends reads for 7 seconds
-    Then backend server 1 ran nothing later than 3 seconds after
+    When the busiest backend server starts to drain while "press" sends reads for 6 seconds
+    Then it started nothing later than 3 seconds after
 
   Scenario: A planned stop cuts no request in flight
     Given a deployment in which each customer may send 200 requests per second
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/PlannedStop.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/PlannedStop.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -28,10 +29,9 @@
   /** Blocks until the callers' port is closed. */
   void run() {
     Duration timeToLive = timeToLive();
-    long startNanos = System.nanoTime();
-    await(control.drain().toCompletableFuture(), timeToLive);
-    long rest = timeToLive.toNanos() - (System.nanoTime() - startNanos);
-    sleep(Math.max(0, rest));
+    CompletableFuture<Void> trafficEnded = traffic.drain(timeToLive);
+    await(control.drain().toCompletableFuture(), timeToLive, "handover");
+    await(trafficEnded, timeToLive.plus(longestTimeout()), "requests in flight");
     traffic.close();
   }
 
@@ -44,23 +44,23 @@
         .orElse(DEFAULT_TIME_TO_LIVE);
   }
 
-  private static void await(CompletableFuture<Void> drained, Duration limit) {
-    try {
-      drained.get(limit.toNanos(), TimeUnit.NANOSECONDS);
-    } catch (TimeoutException e) {
-      LOGGER.log(Level.WARNING, "[serve] The handover did not end in time. The leases will lapse.");
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } catch (ExecutionException e) {
-      LOGGER.log(Level.WARNING, "[serve] The handover failed.", e.getCause());
-    }
+  private Duration longestTimeout() {
+    return control.snapshot().configuration().stream()
+        .flatMap(configuration -> configuration.deployment().services().stream())
+        .map(service -> Duration.ofMillis(service.longestTimeoutMillis()))
+        .max(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
   }
 
-  private static void sleep(long nanos) {
+  private static void await(CompletableFuture<Void> end, Duration limit, String what) {
     try {
-      TimeUnit.NANOSECONDS.sleep(nanos);
+      end.get(limit.toNanos(), TimeUnit.NANOSECONDS);
+    } catch (TimeoutException e) {
+      LOGGER.log(Level.WARNING, "[serve] The {0} did not end in {1}.", what, limit);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      LOGGER.log(Level.WARNING, "[serve] The " + what + " failed.", e.getCause());
     }
   }
 }
