Reduce the deadline at each hop and report draining backend servers

Cause: the next hop got all of the time left, so its answer came after the deadline here, and a slot was given back at the time at which the backend server stopped. A Toucanrack-Draining header was not seen by anyone.

Change: HopDeadline keeps a tenth of the time left, at most 15 ms, at each hop. TrafficServer.whenBackendDrains takes a listener. Tests for both and for Expect: 100-continue, which needed no change.

Ruled out: waiting longer than the deadline for a peer's answer, which hid the missing reduction.

Conclusion: internal.serve still has to pass a listener and to use drain().

--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/AttemptSender.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/AttemptSender.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.toucanrack.ErrorCode;
+import org.toucanrack.internal.coordination.retry.HopDeadline;
 import org.toucanrack.internal.protocol.generated.CancelForward;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 import org.toucanrack.internal.protocol.generated.ForwardRequest;
@@ -16,9 +17,6 @@
 /** Sends single attempts and cancellations to this VM or to another one. Thread-safe. */
 final class AttemptSender {
 
-  /** Time for the answer to come back after the owner's own deadline. */
-  private static final Duration ANSWER_GRACE = Duration.ofMillis(50);
-
   private final TrafficCollaborators collaborators;
   private final OwnerExecutor owner;
 
@@ -49,14 +47,17 @@
             PeerEnvelope.newBuilder().setCancelForward(cancel).build());
   }
 
-  /** Forwards a request; what is left of the deadline is in the message. */
+  /** Forwards a request; the other VM gets less time, so that its answer comes in time. */
   CompletionStage<ForwardAnswer> forward(Member destination, ForwardRequest request) {
+    long leftMillis = request.getDeadlineMillis();
+    ForwardRequest reduced =
+        request.toBuilder().setDeadlineMillis(HopDeadline.forNextHop(leftMillis)).build();
     return collaborators
         .peers()
         .request(
             destination.peersAddress(),
-            PeerEnvelope.newBuilder().setForwardRequest(request).build(),
-            Duration.ofMillis(request.getDeadlineMillis()).plus(ANSWER_GRACE))
+            PeerEnvelope.newBuilder().setForwardRequest(reduced).build(),
+            Duration.ofMillis(leftMillis))
         .handle(
             (envelope, failure) ->
                 failure == null && envelope.hasForwardAnswer()
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
@@ -12,9 +13,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.internal.coordination.retry.HopDeadline;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 import org.toucanrack.internal.protocol.generated.ForwardRequest;
 import org.toucanrack.internal.protocol.generated.HeaderField;
@@ -27,6 +31,7 @@
  */
 final class BackendClient {
 
+  private static final HttpHeader DRAINING = HttpHeaders.of("Toucanrack-Draining");
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(20);
   private static final Duration LONGEST_CALL = Duration.ofMinutes(10);
@@ -38,12 +43,15 @@
 
   private final Eventloop loop;
   private final LongSupplier clock;
+  private final Consumer<BackendServerId> onDraining;
   private final BackendConnections connections = new BackendConnections();
   private final HttpClient client;
 
-  BackendClient(Eventloop loop, LongSupplier clock) {
+  /** Creates a client that reports backend servers whose responses say that they drain. */
+  BackendClient(Eventloop loop, LongSupplier clock, Consumer<BackendServerId> onDraining) {
     this.loop = loop;
     this.clock = clock;
+    this.onDraining = onDraining;
     TcpSocket.Inspector sockets = connections.socketInspector();
     this.client =
         HttpClient.builder(loop, new LiteralAddresses())
@@ -130,14 +138,19 @@
     }
     return builder
         .withHeader(HttpHeaders.of("Toucanrack-Request-Id"), request.getRequestId())
-        .withHeader(HttpHeaders.of("Toucanrack-Deadline-Ms"), Long.toString(leftMillis))
+        .withHeader(
+            HttpHeaders.of("Toucanrack-Deadline-Ms"),
+            Long.toString(HopDeadline.forNextHop(leftMillis)))
         .withHeader(HttpHeaders.of("Toucanrack-Customer"), request.getCustomer())
         .withBody(request.getBody().toByteArray())
         .build();
   }
 
-  private static ForwardAnswer read(HttpResponse response, BackendServer server) {
+  private ForwardAnswer read(HttpResponse response, BackendServer server) {
     List<HeaderField> headers = MessageHeaders.of(response);
+    if (response.hasHeader(DRAINING)) {
+      onDraining.accept(server.id());
+    }
     return BackendResponse.toAnswer(
             response.getCode(), headers, ByteString.copyFrom(response.getBody().getArray()))
         .setBackendServer(server.id().value())
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.toucanrack.id.BackendServerId;
 import org.toucanrack.internal.coordination.routing.ClientBlocks;
 
 /**
@@ -39,6 +41,7 @@
   private final PrimaryServer primary;
   private final OwnerExecutor owner;
   private volatile Optional<ClientBlocks> clientBlocks = Optional.empty();
+  private volatile Consumer<BackendServerId> onDraining = server -> {};
   private volatile boolean draining;
   private volatile boolean closing;
 
@@ -48,7 +51,8 @@
     for (int i = 0; i < settings.threads(); i++) {
       Eventloop loop = Eventloop.builder().withThreadName("traffic-" + i).build();
       loops.add(loop);
-      clients.add(new BackendClient(loop, collaborators.clock()));
+      clients.add(
+          new BackendClient(loop, collaborators.clock(), server -> onDraining.accept(server)));
     }
     owner = new OwnerExecutor(collaborators, clients);
     Routing routing = new Routing(collaborators);
@@ -91,6 +95,11 @@
     clientBlocks = Optional.of(blocks);
   }
 
+  /** Sets what to do when a response of a backend server carries {@code Toucanrack-Draining}. */
+  public void whenBackendDrains(Consumer<BackendServerId> listener) {
+    onDraining = listener;
+  }
+
   /**
    * Stops on plan: look-ups no longer name this VM, which goes on serving for the time to live of
    * earlier answers and then until all requests in flight have ended. The result completes when
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/http/BackendFaultsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/http/BackendFaultsTest.java
@@ -1,12 +1,15 @@
 package org.toucanrack.internal.transport.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
+import org.toucanrack.id.BackendServerId;
 import org.toucanrack.internal.coordination.dispatch.SlotOutcome;
 import org.toucanrack.internal.state.KeyFreshness;
 import org.toucanrack.internal.state.LeaseView;
@@ -147,6 +150,22 @@
     }
   }
 
+  @Test
+  void reportsBackendServersThatSayTheyDrain() throws Exception {
+    String draining = "HTTP/1.1 200 OK\r\nToucanrack-Draining: true\r\nContent-Length: 0\r\n\r\n";
+    List<BackendServerId> reported = new CopyOnWriteArrayList<>();
+    try (RawBackend backend = new RawBackend((r, c, n) -> RawBackend.write(c, draining));
+        TrafficFixture fixture = TrafficFixture.start(backend);
+        RawCaller caller = fixture.caller()) {
+      fixture.server.whenBackendDrains(reported::add);
+
+      String response = caller.send(TrafficFixture.get("/shop/a")).response();
+
+      assertEquals(List.of(new BackendServerId("b0")), reported);
+      assertFalse(response.contains("Draining"), response);
+    }
+  }
+
   @Test
   void dispatchesNothingWithoutLease() throws Exception {
     try (RawBackend backend = new RawBackend(RawBackend.ok("hello"));
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/http/CallersPortTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/http/CallersPortTest.java
@@ -187,6 +187,29 @@
     assertFalse(request.contains("opensesame") || request.contains("evil"), request);
   }
 
+  @Test
+  void passesTheSmallerDeadlineReducedByOneHop() throws Exception {
+    caller
+        .send("GET /shop/a HTTP/1.1\r\n" + KEYED + "Toucanrack-Deadline-Ms: 1000\r\n\r\n")
+        .response();
+
+    String request = backend.requests().get(0);
+    String millis = request.replaceAll("(?s).*Deadline-Ms: ([0-9]+)\r.*", "$1");
+    assertTrue(Integer.parseInt(millis) <= 985, request);
+  }
+
+  @Test
+  void invitesCallersThatWaitBeforeTheySendTheBody() throws Exception {
+    caller.send(
+        "POST /shop/a HTTP/1.1\r\n" + KEYED + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+
+    String invitation = caller.response();
+    String response = caller.send("abc").response();
+
+    assertTrue(invitation.startsWith("HTTP/1.1 100"), invitation);
+    assertTrue(response.startsWith("HTTP/1.1 200"), response);
+  }
+
   @Test
   void matchesRoutesOnTheDecodedPath() throws Exception {
     String response = caller.send("GET /shop/%6fpen HTTP/1.1\r\nHost: t\r\n\r\n").response();
