Plan moves by monotonic windows and bound every VM's own change of split

Cause: the thin gate bounded shifts only at the moment of a shift, and moves had no planner. Ruled out: platform time in the record (a clock that is set could shorten a window), a count of the last window alone (it breaks when arrivals leave the window), failover that becomes the base (it would grow by the cap in each window without a decision).

--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MovePlanner.java
@@ -0,0 +1,121 @@
+package org.toucanrack.internal.coordination.move;
+
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+
+/**
+ * Decides the next step of a move.
+ *
+ * <p>Invariant: a record changes its split by at most its step, and only when the planning VM has
+ * seen the record unchanged for a whole window of its own monotonic clock. Hence two changes are at
+ * least a window apart on any clock. Stateless and thread-safe.
+ */
+public final class MovePlanner {
+
+  /** Fraction of the target's backend servers that must be warm before a step. */
+  static final double MIN_WARMTH = 0.8;
+
+  private static final double ROUNDING = 1e-9;
+
+  /**
+   * Plans the next record.
+   *
+   * @param record the newest record this VM read
+   * @param seenNanos monotonic time at which this VM first read this version of the record
+   */
+  public MoveDecision plan(
+      MoveRecord record, long seenNanos, MoveConditions conditions, long nowNanos) {
+    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - seenNanos);
+    long remaining = record.remainingMillis() - elapsedMillis;
+    if (record.state().isFinal()) {
+      return MoveDecision.waiting(record.reason());
+    }
+    if (elapsedMillis < record.windowMillis()) {
+      return MoveDecision.waiting("The window of the last change has not passed.");
+    }
+    if (record.state() == MoveState.TAKING_BACK) {
+      return takeBack(record, conditions, remaining, record.reason());
+    }
+    if (remaining <= 0) {
+      String reason =
+          "The deadline passed at %s of the traffic, which is taken back."
+              .formatted(percent(record.split()));
+      return takeBack(record, conditions, remaining, reason);
+    }
+    return advance(record, conditions, remaining);
+  }
+
+  /**
+   * Returns the record of an aborted move. It is written on the condition that the given record is
+   * unchanged; a concurrent last step wins or loses as a whole.
+   */
+  public MoveRecord abort(MoveRecord record) {
+    if (record.state().isFinal()) {
+      throw new ToucanrackException(
+          ErrorCode.CONFLICT,
+          "Move %s is already %s. Start a move in the other direction instead."
+              .formatted(record.id(), record.state().name().toLowerCase(Locale.ROOT)));
+    }
+    return record.aborted(
+        "An operator aborted the move at %s of the traffic, which is taken back."
+            .formatted(percent(record.split())));
+  }
+
+  private MoveDecision advance(MoveRecord record, MoveConditions conditions, long remaining) {
+    double change = Math.min(record.step(), 1 - record.split());
+    String obstacle = obstacle(record, conditions, change);
+    if (!obstacle.isEmpty()) {
+      return checkpoint(record, remaining, obstacle);
+    }
+    double split = record.split() + change;
+    boolean done = split >= 1 - ROUNDING;
+    String reason =
+        done
+            ? "All traffic moved to %s.".formatted(record.to())
+            : "%s of the traffic moved to %s.".formatted(percent(split), record.to());
+    MoveState state = done ? MoveState.DONE : MoveState.RUNNING;
+    return MoveDecision.write(record.with(state, done ? 1 : split, remaining, reason));
+  }
+
+  private static String obstacle(MoveRecord record, MoveConditions conditions, double change) {
+    if (conditions.headroomTo() < change) {
+      return "%s has headroom for %s of the traffic, the step needs %s."
+          .formatted(record.to(), percent(conditions.headroomTo()), percent(change));
+    }
+    if (conditions.warmth() < MIN_WARMTH) {
+      return "%s of the backend servers in %s are warm, a step needs %s."
+          .formatted(percent(conditions.warmth()), record.to(), percent(MIN_WARMTH));
+    }
+    return "";
+  }
+
+  private MoveDecision takeBack(
+      MoveRecord record, MoveConditions conditions, long remaining, String reason) {
+    double change = Math.min(record.step(), record.split());
+    if (conditions.headroomFrom() < change) {
+      String obstacle =
+          "%s has headroom for %s of the traffic, taking back needs %s."
+              .formatted(record.from(), percent(conditions.headroomFrom()), percent(change));
+      return MoveDecision.waiting(obstacle);
+    }
+    double split = record.split() - change;
+    MoveState state = split > ROUNDING ? MoveState.TAKING_BACK : finalState(record);
+    return MoveDecision.write(record.with(state, split > ROUNDING ? split : 0, remaining, reason));
+  }
+
+  /** Stores the remaining time, so that it is not lost when all VMs restart. */
+  private static MoveDecision checkpoint(MoveRecord record, long remaining, String obstacle) {
+    return MoveDecision.write(
+        record.with(record.state(), record.split(), remaining, "Waiting: " + obstacle));
+  }
+
+  private static MoveState finalState(MoveRecord record) {
+    return record.abortRequested() ? MoveState.ABORTED : MoveState.TAKEN_BACK;
+  }
+
+  private static String percent(double fraction) {
+    return Math.round(fraction * 1000) / 10.0 + "%";
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MoveState.java
@@ -0,0 +1,17 @@
+package org.toucanrack.internal.coordination.move;
+
+/** The states of a traffic move. */
+public enum MoveState {
+  RUNNING,
+  /** A rollback is in progress, after the deadline or an abort. */
+  TAKING_BACK,
+  DONE,
+  TAKEN_BACK,
+  /** An operator aborted the move and its rollback is complete. */
+  ABORTED;
+
+  /** Returns whether no further step follows. */
+  public boolean isFinal() {
+    return this == DONE || this == TAKEN_BACK || this == ABORTED;
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftWindowGate.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftWindowGate.java
@@ -1,48 +1,106 @@
 package org.toucanrack.internal.coordination.move;
 
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
 import org.toucanrack.configuration.ShiftRule;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.state.TrafficSplit;
 
 /**
- * Bounds shifted requests by count in a sliding window on this VM.
+ * Bounds the traffic that changes its place on this VM, by moves and by failover together.
  *
- * <p>Invariant: in any window, shifts never exceed the cap's fraction of the arrivals of the same
- * window. Since each VM keeps this for its own arrivals, the sum over VMs keeps it without shared
- * state. Thread-safe.
+ * <p>Invariant: in any window, requests served elsewhere than the split at the window's start says
+ * are at most the cap's fraction of the arrivals, plus less than two. As each VM keeps this for its
+ * own arrivals, the sum over all VMs keeps it with any views of the move. Thread-safe.
  */
 public final class ShiftWindowGate implements ShiftGate {
 
-  private final Map<ServiceId, SlidingShiftWindow> windows = new ConcurrentHashMap<>();
-  private volatile ShiftRule rule;
+  /**
+   * Part of the cap that is used. The rest covers the requests over the fraction, for windows with
+   * at least 40 / cap arrivals.
+   */
+  static final double USED_CAP_FRACTION = 0.95;
 
-  /** Creates a gate. */
+  private final Map<ServiceId, BoundedSplit> splits = new HashMap<>();
+  private final Map<ServiceId, PacedShifts> shifts = new HashMap<>();
+  private Map<ServiceId, Map<FailureDomainId, Double>> targets = Map.of();
+  private ShiftRule rule;
+  private boolean started;
+
+  /** Creates a gate without splits. */
   public ShiftWindowGate(ShiftRule rule) {
     this.rule = rule;
   }
 
-  /** Adopts a new cap for later requests. A changed window length starts with empty counts. */
-  public void update(ShiftRule newRule) {
-    if (!newRule.window().equals(rule.window())) {
-      windows.clear();
-    }
+  /** Adopts the cap. */
+  public synchronized void update(ShiftRule newRule) {
     rule = newRule;
   }
 
+  /**
+   * Adopts the declared splits of the traffic that arrives in the VM's own failure domain. The
+   * first ones are taken to be in effect already: the traffic of a VM that starts came from others
+   * that applied them.
+   */
+  public synchronized void update(
+      FailureDomainId ownDomain, List<TrafficSplit> declared, long nowNanos) {
+    Map<ServiceId, Map<FailureDomainId, Double>> newTargets = new HashMap<>();
+    declared.stream()
+        .filter(split -> split.from().equals(ownDomain))
+        .forEach(split -> newTargets.put(split.service(), split.fractions()));
+    targets = newTargets;
+    targets.forEach(
+        (service, fractions) ->
+            splits.computeIfAbsent(
+                service, id -> new BoundedSplit(started ? Map.of() : fractions)));
+    started = true;
+    splits.keySet().forEach(service -> follow(service, nowNanos));
+  }
+
+  /** Returns the fractions to apply now, which follow the declared split within the cap. */
+  public synchronized Map<FailureDomainId, Double> split(ServiceId service, long nowNanos) {
+    follow(service, nowNanos);
+    return splits.containsKey(service) ? splits.get(service).applied() : Map.of();
+  }
+
   @Override
-  public void arrived(ServiceId service, long nowNanos) {
-    window(service).arrived(nowNanos);
+  public synchronized void arrived(ServiceId service, long nowNanos) {
+    shifts.computeIfAbsent(service, id -> new PacedShifts()).arrived(allowed(service, nowNanos));
   }
 
   @Override
-  public boolean tryShift(
+  public synchronized boolean tryShift(
       ServiceId service, FailureDomainId from, FailureDomainId to, long nowNanos) {
-    return from.equals(to) || window(service).tryShift(rule.capFraction(), nowNanos);
+    return from.equals(to)
+        || Optional.ofNullable(shifts.get(service)).map(PacedShifts::tryShift).orElse(false);
+  }
+
+  /** The applied split, plus what is left of the cap for failover. */
+  private double allowed(ServiceId service, long nowNanos) {
+    follow(service, nowNanos);
+    BoundedSplit split = splits.get(service);
+    if (split == null) {
+      return usedCap();
+    }
+    return split.shifted() + Math.max(0, usedCap() - split.changed(windowNanos(), nowNanos));
+  }
+
+  private void follow(ServiceId service, long nowNanos) {
+    BoundedSplit split = splits.get(service);
+    if (split != null) {
+      double budget = usedCap() - split.changed(windowNanos(), nowNanos);
+      split.follow(targets.getOrDefault(service, Map.of()), budget, nowNanos);
+    }
+  }
+
+  private double usedCap() {
+    return rule.capFraction() * USED_CAP_FRACTION;
   }
 
-  private SlidingShiftWindow window(ServiceId service) {
-    return windows.computeIfAbsent(service, id -> new SlidingShiftWindow(rule.window().toNanos()));
+  private long windowNanos() {
+    return rule.window().toNanos();
   }
 }
