Carry moves: any VM steps the record, every VM bounds its own split

Cause: move records were planned and stored but no VM carried them, and the command line wrote another form of the record than the planner reads. Ruled out: a split that follows the record by chance only; the gate now paces it by count, so the cap holds in short windows as well (test of the chooser replaced by two: permitted and refused by the gate). Measured: module tests pass; not yet run end to end with a move.

--- a/toucanrack/src/main/java/org/toucanrack/internal/command/MoveCommand.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/MoveCommand.java
@@ -63,7 +63,7 @@
       Optional<Row> before = records.read(key);
       String result =
           declaration.isPresent()
-              ? start(platform, key, before, declaration.get())
+              ? start(platform, move.orElseThrow(), before, declaration.get())
               : showOrAbort(action, records, required(key, before), settings);
       invocation.out().println(result);
     }
@@ -95,13 +95,14 @@
   }
 
   private static String start(
-      Platform platform, String key, Optional<Row> before, MoveDeclaration declaration) {
+      Platform platform, MoveId move, Optional<Row> before, MoveDeclaration declaration) {
+    String key = PREFIX + move;
     if (before.isPresent()) {
       throw new ToucanrackException(
           ErrorCode.CONFLICT, "There is a record '" + key + "' already. Choose another name.");
     }
     Deployment deployment = new VersionSequence(platform).requireCurrent().deployment();
-    ObjectNode value = declaration.record(deployment, Instant.now());
+    ObjectNode value = declaration.record(move, deployment, Instant.now());
     new TableRecords(platform).write(key, before, value);
     return "Started. Watch it with 'toucanrack move status'.";
   }
@@ -116,6 +117,7 @@
     }
     boolean shifted = value.path("split").asDouble() > 0;
     value.put("state", shifted ? MoveText.TAKING_BACK : MoveText.ABORTED);
+    value.put("abortRequested", true);
     value.put("reason", "Aborted by " + settings.operator() + ".");
     records.write(before.key(), Optional.of(before), value);
     return shifted
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/MoveDeclaration.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/MoveDeclaration.java
@@ -13,6 +13,7 @@
 import org.toucanrack.configuration.Region;
 import org.toucanrack.configuration.ShiftRule;
 import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.MoveId;
 import org.toucanrack.id.ServiceId;
 
 /**
@@ -83,7 +84,7 @@
   }
 
   /** Returns the record of a new move, or throws if the deployment does not permit it. */
-  ObjectNode record(Deployment deployment, Instant now) {
+  ObjectNode record(MoveId id, Deployment deployment, Instant now) {
     ShiftRule rule = deployment.rules().shift();
     double capFraction = cap.orElse(rule.capFraction());
     Duration capWindow = window.orElse(rule.window());
@@ -101,12 +102,15 @@
             .formatted(seconds, now.plusSeconds(seconds + 1).truncatedTo(ChronoUnit.SECONDS)));
     return TableRecords.JSON
         .createObjectNode()
+        .put("id", id.value())
         .put("service", service.value())
         .put("from", from)
         .put("to", to)
         .put("cap", capFraction)
         .put("step", stepFraction)
-        .put("windowSeconds", capWindow.toSeconds())
+        .put("windowMillis", capWindow.toMillis())
+        .put("remainingMillis", Duration.between(now, deadline).toMillis())
+        .put("abortRequested", false)
         .put("deadline", deadline.toString())
         .put("state", MoveText.RUNNING)
         .put("split", 0.0)
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/MoveText.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/MoveText.java
@@ -1,13 +1,14 @@
 package org.toucanrack.internal.command;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.toucanrack.internal.coordination.move.MoveState;
 
 /** States of a move's record and its description for a person. Stateless and thread-safe. */
 final class MoveText {
 
-  static final String RUNNING = "running";
-  static final String TAKING_BACK = "taking back";
-  static final String ABORTED = "aborted";
+  static final String RUNNING = MoveState.RUNNING.text();
+  static final String TAKING_BACK = MoveState.TAKING_BACK.text();
+  static final String ABORTED = MoveState.ABORTED.text();
 
   private MoveText() {}
 
@@ -20,7 +21,7 @@
             move.path("state").asText(),
             move.path("split").asText(),
             move.path("cap").asText(),
-            move.path("windowSeconds").asLong(),
+            move.path("windowMillis").asLong() / 1000,
             move.path("deadline").asText(),
             move.path("reason").asText());
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MovePlanner.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MovePlanner.java
@@ -1,6 +1,5 @@
 package org.toucanrack.internal.coordination.move;
 
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.ToucanrackException;
@@ -56,7 +55,7 @@
       throw new ToucanrackException(
           ErrorCode.CONFLICT,
           "Move %s is already %s. Start a move in the other direction instead."
-              .formatted(record.id(), record.state().name().toLowerCase(Locale.ROOT)));
+              .formatted(record.id(), record.state().text()));
     }
     return record.aborted(
         "An operator aborted the move at %s of the traffic, which is taken back."
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MoveRecord.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MoveRecord.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.ToucanrackException;
 import org.toucanrack.id.MoveId;
@@ -98,6 +99,21 @@
     }
   }
 
+  /**
+   * Returns the JSON form that replaces a stored one. Fields that this record does not know, such
+   * as the operator's operation id, are kept.
+   */
+  public String toJson(String stored) {
+    try {
+      ObjectNode merged = (ObjectNode) MAPPER.readTree(stored);
+      merged.setAll((ObjectNode) MAPPER.valueToTree(this));
+      return MAPPER.writeValueAsString(merged);
+    } catch (JsonProcessingException exception) {
+      throw new ToucanrackException(
+          ErrorCode.INTERNAL, "Move " + id + " cannot be written as JSON.", exception);
+    }
+  }
+
   /** Parses the JSON form. */
   public static MoveRecord fromJson(String json) {
     try {
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MoveState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/MoveState.java
@@ -1,5 +1,8 @@
 package org.toucanrack.internal.coordination.move;
 
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Locale;
+
 /** The states of a traffic move. */
 public enum MoveState {
   RUNNING,
@@ -10,6 +13,12 @@
   /** An operator aborted the move and its rollback is complete. */
   ABORTED;
 
+  /** Returns the form in records and for operators, for example {@code taking back}. */
+  @JsonValue
+  public String text() {
+    return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+  }
+
   /** Returns whether no further step follows. */
   public boolean isFinal() {
     return this == DONE || this == TAKEN_BACK || this == ABORTED;
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftGate.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftGate.java
@@ -1,5 +1,6 @@
 package org.toucanrack.internal.coordination.move;
 
+import java.util.Map;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.ServiceId;
 
@@ -16,4 +17,12 @@
    * Returns whether one request may be served in another failure domain now, and counts it if so.
    */
   boolean tryShift(ServiceId service, FailureDomainId from, FailureDomainId to, long nowNanos);
+
+  /**
+   * Returns the fractions of the traffic of this VM's failure domain to serve in other ones now.
+   * They follow the splits of moves within the cap.
+   */
+  default Map<FailureDomainId, Double> split(ServiceId service, long nowNanos) {
+    return Map.of();
+  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftWindowGate.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/move/ShiftWindowGate.java
@@ -60,7 +60,7 @@
     splits.keySet().forEach(service -> follow(service, nowNanos));
   }
 
-  /** Returns the fractions to apply now, which follow the declared split within the cap. */
+  @Override
   public synchronized Map<FailureDomainId, Double> split(ServiceId service, long nowNanos) {
     follow(service, nowNanos);
     return splits.containsKey(service) ? splits.get(service).applied() : Map.of();
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/DestinationChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/DestinationChooser.java
@@ -16,7 +16,7 @@
  *
  * <p>Traffic stays in its own failure domain, or where a split of a move sends it. Only when no
  * owner there is usable it goes elsewhere, within the shift gate, the link budget and the free
- * slots there. A split needs no gate: each change of a split is bounded by the steps of its move.
+ * slots there. The gate also paces the traffic of a split, so that chance cannot exceed the cap.
  * Thread-safe.
  */
 public final class DestinationChooser {
@@ -96,7 +96,7 @@
         for (Map.Entry<FailureDomainId, Double> part : split.fractions().entrySet()) {
           point -= part.getValue();
           if (point < 0) {
-            return part.getKey();
+            return paced(request, home, part.getKey());
           }
         }
       }
@@ -104,6 +104,11 @@
     return home;
   }
 
+  private FailureDomainId paced(
+      RoutingRequest request, FailureDomainId home, FailureDomainId planned) {
+    return gate.tryShift(request.service(), home, planned, request.nowNanos()) ? planned : home;
+  }
+
   private static List<FailureDomainId> byDistance(
       RoutingRequest request, RoutingIndex index, FailureDomainId own) {
     List<FailureDomainId> domains =
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
@@ -5,13 +5,16 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.LongPredicate;
+import java.util.stream.Collectors;
 import org.toucanrack.configuration.Configuration;
+import org.toucanrack.configuration.Deployment;
 import org.toucanrack.id.Incarnation;
 import org.toucanrack.internal.configuration.ConfigurationCodec;
 import org.toucanrack.internal.coordination.control.ControlPlane;
-import org.toucanrack.internal.coordination.control.SnapshotParts;
 import org.toucanrack.internal.coordination.limit.EscrowRateLimiter;
 import org.toucanrack.internal.state.ControlSnapshot;
 import org.toucanrack.internal.state.Member;
@@ -36,6 +39,9 @@
 
   private static final Logger LOGGER = System.getLogger(EntryVm.class.getName());
 
+  /** Prefix of the records by which operators drain backend servers. */
+  private static final String DRAINED_SERVERS = "drain/backend-server/";
+
   private final ServeSettings settings;
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final RequestMetrics metrics = new RequestMetrics(registry);
@@ -45,6 +51,7 @@
   private final ServiceDispatchers dispatchers;
   private final EscrowRateLimiter rateLimiter;
   private final Steering steering = new Steering();
+  private final MoveDriver moves;
   private final TrafficServer traffic;
   private final Housekeeping housekeeping;
 
@@ -62,6 +69,7 @@
     rateLimiter = new EscrowRateLimiter(tokens, System::nanoTime, permits);
     tokens.serve(rateLimiter, System::nanoTime);
     control = new ControlPlane(controlSettings(self), platform, peers);
+    moves = new MoveDriver(control, dispatchers);
     traffic = new TrafficServer(trafficSettings(), collaborators());
     housekeeping = new Housekeeping(settings, registry, statusReader(), this);
     control.onSnapshot(this::adopt);
@@ -117,11 +125,30 @@
     rateLimiter.expire(nowNanos);
   }
 
+  /** Carries moves on. Called about once a second. */
+  void advanceMoves(long nowNanos) {
+    moves.run(nowNanos);
+  }
+
+  private Optional<Deployment> deployment() {
+    return control == null
+        ? Optional.empty()
+        : currentSnapshot().configuration().map(Configuration::deployment);
+  }
+
   private void adopt(ControlSnapshot snapshot) {
     long now = System.nanoTime();
-    dispatchers.update(snapshot, now);
+    dispatchers.update(snapshot, drainedServers(), now);
     rateLimiter.update(snapshot, now);
-    snapshot.configuration().ifPresent(configuration -> steering.update(configuration, snapshot));
+    snapshot
+        .configuration()
+        .ifPresent(configuration -> steering.update(configuration, snapshot, now));
+  }
+
+  private Set<String> drainedServers() {
+    return control.records(DRAINED_SERVERS).stream()
+        .map(row -> row.key().substring(DRAINED_SERVERS.length()))
+        .collect(Collectors.toUnmodifiableSet());
   }
 
   private StatusReader statusReader() {
@@ -134,7 +161,7 @@
         settings.peers().stream().map(EntryVm::text).toList(),
         EntryVm::decode,
         (resource, epoch) -> dispatchers.stop(resource, epoch, System.nanoTime()),
-        SnapshotParts.NONE,
+        new OperatorParts(this::deployment),
         System::nanoTime);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/OwnedServerList.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/OwnedServerList.java
@@ -21,14 +21,17 @@
 
   private final ControlSnapshot snapshot;
   private final Map<BackendServerId, BackendHealth> health;
+  private final Set<String> drained;
   private final BiPredicate<BackendServerId, ResourceGrant> isUsable;
 
   OwnedServerList(
       ControlSnapshot snapshot,
       Map<BackendServerId, BackendHealth> health,
+      Set<String> drained,
       BiPredicate<BackendServerId, ResourceGrant> isUsable) {
     this.snapshot = snapshot;
     this.health = health;
+    this.drained = drained;
     this.isUsable = isUsable;
   }
 
@@ -62,7 +65,7 @@
     return new OwnedServer(
         server,
         grant(server).usableFromNanos(),
-        state.draining(),
+        state.draining() || drained.contains(server.id().value()),
         server.slots(),
         role,
         OptionalLong.empty(),
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
+import org.toucanrack.configuration.BackendServer;
 import org.toucanrack.configuration.Service;
 import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.ServiceId;
@@ -31,6 +33,7 @@
   private final LongPredicate permitsDispatch;
   private Optional<ControlSnapshot> newest = Optional.empty();
   private Map<BackendServerId, BackendHealth> newestHealth = Map.of();
+  private Set<String> newestDrained = Set.of();
 
   ServiceDispatchers(LongPredicate permitsDispatch) {
     this.permitsDispatch = permitsDispatch;
@@ -41,9 +44,19 @@
     return dispatchers.get(service);
   }
 
-  /** Adopts the ownership of a snapshot. */
-  synchronized void update(ControlSnapshot snapshot, long nowNanos) {
+  /** Returns the slots of the backend servers of a service that this VM may use. */
+  synchronized int ownedSlots(ServiceId service) {
+    return newest.stream()
+        .flatMap(snapshot -> OwnedServerList.granted(snapshot).stream())
+        .filter(server -> server.service().equals(service))
+        .mapToInt(BackendServer::slots)
+        .sum();
+  }
+
+  /** Adopts the ownership of a snapshot and the backend servers that operators drain. */
+  synchronized void update(ControlSnapshot snapshot, Set<String> drained, long nowNanos) {
     newest = Optional.of(snapshot);
+    newestDrained = Set.copyOf(drained);
     apply(nowNanos);
   }
 
@@ -85,7 +98,8 @@
   }
 
   private void apply(ControlSnapshot snapshot, long nowNanos) {
-    OwnedServerList list = new OwnedServerList(snapshot, newestHealth, this::isUsable);
+    OwnedServerList list =
+        new OwnedServerList(snapshot, newestHealth, newestDrained, this::isUsable);
     Map<ServiceId, List<OwnedServer>> owned =
         list.servers().stream().collect(Collectors.groupingBy(server -> server.server().service()));
     for (Service service : snapshot.configuration().orElseThrow().deployment().services()) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/Steering.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/Steering.java
@@ -30,8 +30,9 @@
     return versions;
   }
 
-  void update(Configuration configuration, ControlSnapshot snapshot) {
+  void update(Configuration configuration, ControlSnapshot snapshot, long nowNanos) {
     shifts.update(configuration.deployment().rules().shift());
+    shifts.update(snapshot.self().failureDomain(), snapshot.splits(), nowNanos);
     versions.update(currentVersions(configuration), snapshot.versionShares());
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/Routing.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/Routing.java
@@ -1,5 +1,6 @@
 package org.toucanrack.internal.transport.http;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -19,6 +20,7 @@
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 import org.toucanrack.internal.state.ControlSnapshot;
 import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.state.TrafficSplit;
 
 /** Routes attempts with the newest control state, and learns from their answers. Thread-safe. */
 final class Routing {
@@ -98,7 +100,22 @@
             excluded,
             collaborators.clock().getAsLong());
     FailureDomainId own = snapshot.self().failureDomain();
-    return chooser.choose(attempt, indexOf(snapshot), snapshot.splits(), own);
+    return chooser.choose(attempt, indexOf(snapshot), splits(attempt, snapshot), own);
+  }
+
+  /** The splits that this VM applies now, which may lag behind the declared ones. */
+  private List<TrafficSplit> splits(RoutingRequest attempt, ControlSnapshot snapshot) {
+    return snapshot.splits().stream()
+        .filter(split -> split.service().equals(attempt.service()))
+        .map(split -> applied(attempt, split.from()))
+        .toList();
+  }
+
+  private TrafficSplit applied(RoutingRequest attempt, FailureDomainId from) {
+    return new TrafficSplit(
+        attempt.service(),
+        from,
+        collaborators.shiftGate().split(attempt.service(), attempt.nowNanos()));
   }
 
   private static boolean isCandidate(
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/routing/DestinationChooserTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/routing/DestinationChooserTest.java
@@ -71,19 +71,28 @@
   }
 
   @Test
-  void followsSplitsOfMovesWithoutTheGate() {
-    RoutingIndex index = index();
+  void followsSplitsOfMovesWhileTheGatePermits() {
+    assertEquals(0.3, movedFractionWithSplit(0.3), 0.05);
+  }
+
+  /** Chance alone could send more than the cap's fraction of a short window. */
+  @Test
+  void keepsTrafficOfSplitAtHomeWhenTheGateRefuses() {
     gateOpen = false;
-    List<TrafficSplit> splits = List.of(new TrafficSplit(SHOP, HOME, Map.of(NEAR, 0.3)));
 
+    assertEquals(0, movedFractionWithSplit(0.3));
+  }
+
+  private double movedFractionWithSplit(double fraction) {
+    RoutingIndex index = index();
+    List<TrafficSplit> splits = List.of(new TrafficSplit(SHOP, HOME, Map.of(NEAR, fraction)));
     long moved =
         random
             .doubles(2000)
             .mapToObj(point -> choose(index, Set.of(), splits))
             .filter(owner(NEAR, false)::equals)
             .count();
-
-    assertEquals(0.3, moved / 2000.0, 0.05);
+    return moved / 2000.0;
   }
 
   @Test
