--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ControlCore.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/ControlCore.java
@@ -174,6 +174,7 @@
 
   private void renewed(DomainRow row, long version, long startedAtNanos) {
     long counter = row.member(state.id()).map(RowMember::renewalCounter).orElse(0L);
+    state.lease.rowKnown(startedAtNanos);
     state.lease.renewed(version, counter, startedAtNanos);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/LeaseKeeper.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/LeaseKeeper.java
@@ -13,7 +13,9 @@
  *
  * <p>Invariants: the lease ends one lease length after the moment before the heartbeat was sent
  * whose counter a written row includes. After a pause the holder is fenced until the row was read
- * or a peer of its failure domain was heard by a request sent after the pause. Not thread-safe.
+ * or a peer of its failure domain was heard by a request sent after the pause. After a pause in
+ * which a takeover was possible, isolated mode needs answers of all members until the row was read.
+ * Not thread-safe.
  */
 public final class LeaseKeeper {
 
@@ -26,6 +28,13 @@
   /** Age up to which a failed attempt to reach the store counts; attempts take up to 2 s each. */
   public static final long STORE_EVIDENCE_NANOS = 5_000_000_000L;
 
+  /**
+   * Longest pause after which a member that does not answer may be ignored. In a longer one it may
+   * have taken resources over; a takeover needs a whole lease without a sign of this VM, and the
+   * last sign may be some seconds older than the pause.
+   */
+  public static final long SHORT_PAUSE_NANOS = 5_000_000_000L;
+
   private final Incarnation self;
   private final Deque<SentHeartbeat> sent = new ArrayDeque<>();
   private final Map<Incarnation, PeerReport> reports = new HashMap<>();
@@ -34,6 +43,7 @@
   private long lastTickNanos;
   private boolean fenced;
   private long fencedAtNanos;
+  private boolean takeoverMayBeHidden;
   private long rowVersion;
   private StoreAttempt lastAttempt;
 
@@ -49,6 +59,7 @@
   /** Takes in one run of the control loop; returns whether the process was paused before it. */
   public boolean tick(long nowNanos) {
     boolean paused = nowNanos - lastTickNanos > LeaseView.MAX_CONTROL_GAP_NANOS;
+    takeoverMayBeHidden |= nowNanos - lastTickNanos > SHORT_PAUSE_NANOS;
     lastTickNanos = nowNanos;
     if (paused) {
       fenced = true;
@@ -87,17 +98,24 @@
     }
   }
 
+  /** Takes in that the row was read from the table or written by this VM. */
+  public void rowKnown(long startedAtNanos) {
+    if (startedAtNanos - fencedAtNanos >= 0) {
+      takeoverMayBeHidden = false;
+    }
+  }
+
   /** Takes in an answer of a peer of the same failure domain. */
   public void peerAnswered(
       Incarnation peer, boolean storeReachable, long peerRowVersion, long requestedAtNanos) {
     boolean blocks = storeReachable || peerRowVersion > rowVersion;
-    reports.put(peer, new PeerReport(requestedAtNanos, blocks));
+    reports.put(peer, new PeerReport(requestedAtNanos, true, blocks));
     clearFence(requestedAtNanos);
   }
 
   /** Takes in that a peer of the same failure domain did not answer. */
   public void peerFailed(Incarnation peer, long requestedAtNanos) {
-    reports.put(peer, new PeerReport(requestedAtNanos, false));
+    reports.put(peer, new PeerReport(requestedAtNanos, false, false));
   }
 
   /** Takes in the outcome of a call of the table service. */
@@ -142,6 +160,7 @@
   private boolean supportsIsolation(PeerReport report, long nowNanos) {
     return report != null
         && !report.blocks()
+        && (report.answered() || !takeoverMayBeHidden)
         && isFresh(report.requestedAtNanos(), PEER_EVIDENCE_NANOS, nowNanos);
   }
 
@@ -151,7 +170,7 @@
 
   private record SentHeartbeat(long counter, long atNanos) {}
 
-  private record PeerReport(long requestedAtNanos, boolean blocks) {}
+  private record PeerReport(long requestedAtNanos, boolean answered, boolean blocks) {}
 
   private record StoreAttempt(long startedAtNanos, boolean reached) {}
 }
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/lease/LeaseKeeperTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/lease/LeaseKeeperTest.java
@@ -112,4 +112,22 @@
     assertFalse(oldEvidence);
     assertTrue(permits(woken));
   }
+
+  /** Guards against a taker that used the resources and then became unreachable itself. */
+  @Test
+  void unreachableMemberPreventsIsolatedModeAfterLongPause() {
+    Incarnation third = new Incarnation(new VmId("c"), 3);
+    long woken = 30 * SECOND;
+    keeper.tick(woken);
+    keeper.storeAttempted(false, woken);
+    keeper.peerAnswered(third, false, 5, woken);
+    keeper.peerFailed(PEER, woken);
+    final boolean unreachable =
+        keeper.view(Set.of(SELF, PEER, third), woken).permitsDispatch(woken);
+
+    keeper.peerAnswered(PEER, false, 5, woken);
+
+    assertFalse(unreachable);
+    assertTrue(keeper.view(Set.of(SELF, PEER, third), woken).permitsDispatch(woken));
+  }
 }
