Add slopes of memory, CPU and messages against deployment size

Cause: no figure showed whether the mechanisms reach the scale target. Ruled out: wall time, since the machine is shared; CPU time of the thread and allocated and retained bytes are used instead.

--- a/bench/src/main/java/org/toucanrack/bench/Arguments.java
+++ b/bench/src/main/java/org/toucanrack/bench/Arguments.java
@@ -20,6 +20,7 @@
           "baseline-only",
           "processes",
           "keys",
+          "scale",
           "out");
 
   private final CommandLine line;
--- a/bench/src/main/java/org/toucanrack/bench/Bench.java
+++ b/bench/src/main/java/org/toucanrack/bench/Bench.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import org.apache.commons.cli.ParseException;
 import org.toucanrack.ToucanrackException;
+import org.toucanrack.bench.capacity.CapacityCommand;
 import org.toucanrack.bench.demo.DemoCommand;
 import org.toucanrack.bench.latency.LatencyCommand;
 import org.toucanrack.bench.layout.Layout;
@@ -12,7 +13,7 @@
 /** The main class of the load and measurement tool. */
 public final class Bench {
 
-  private static final String USAGE = "usage: bench layout|demo|measure|latency OPTIONS";
+  private static final String USAGE = "usage: bench layout|demo|measure|latency|capacity OPTIONS";
   private static final int WRONG_USAGE = 2;
 
   private Bench() {}
@@ -35,6 +36,7 @@
         case "demo" -> DemoCommand.run(rest);
         case "measure" -> MeasureCommand.run(rest);
         case "latency" -> LatencyCommand.run(rest);
+        case "capacity" -> CapacityCommand.run(rest);
         default -> throw new ParseException(USAGE);
       };
     } catch (ParseException | IllegalArgumentException | ToucanrackException e) {
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/CapacityCommand.java
@@ -0,0 +1,36 @@
+package org.toucanrack.bench.capacity;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import org.toucanrack.bench.Arguments;
+
+/** {@code bench capacity}: measures all slopes and writes them. */
+public final class CapacityCommand {
+
+  private static final List<Slope> SLOPES =
+      List.of(
+          new BlockSlope(),
+          new LookUpSlope(),
+          new ConfigurationSlope(),
+          new DomainRowSlope(),
+          new RestartSlope(),
+          new MessageSlope(),
+          new LimiterSlope(),
+          new DispatcherSlope(),
+          new TicketSlope());
+
+  private CapacityCommand() {}
+
+  /** Runs the command; returns the exit code. */
+  public static int run(Arguments arguments) throws IOException {
+    String name = arguments.optional("scale", "target");
+    Scale scale = Scale.valueOf(name.toUpperCase(Locale.ROOT));
+    Figures figures = new Figures(scale);
+    SLOPES.forEach(slope -> slope.measure(scale, figures));
+    Path directory = Path.of(arguments.optional("out", "measure-results"));
+    System.out.print(new CapacityReport(figures.all()).write(directory, "capacity-" + name));
+    return 0;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/CapacityReport.java
@@ -0,0 +1,58 @@
+package org.toucanrack.bench.capacity;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Writes the figures as JSON and as a table with a straight line fitted to each quantity. */
+final class CapacityReport {
+
+  private static final ObjectMapper JSON =
+      new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+  private final List<Figure> figures;
+
+  CapacityReport(List<Figure> figures) {
+    this.figures = figures;
+  }
+
+  /** Writes both forms into a directory and returns the table. */
+  String write(Path directory, String name) throws IOException {
+    Files.createDirectories(directory);
+    JSON.writeValue(directory.resolve(name + ".json").toFile(), figures);
+    String table = table();
+    Files.writeString(directory.resolve(name + ".txt"), table);
+    return table;
+  }
+
+  private String table() {
+    Map<String, List<Figure>> lines = new LinkedHashMap<>();
+    figures.forEach(
+        figure -> lines.computeIfAbsent(figure.line(), key -> new ArrayList<>()).add(figure));
+    StringBuilder table = new StringBuilder();
+    lines.forEach(
+        (line, points) -> {
+          table.append(line).append('\n');
+          points.forEach(point -> append(table, point));
+          Fit.of(points).ifPresent(fit -> table.append("    fit ").append(fit).append('\n'));
+        });
+    return table.toString();
+  }
+
+  private static void append(StringBuilder table, Figure point) {
+    table.append(
+        String.format(
+            Locale.ROOT,
+            "  %,10d  %,18.3f  spread %.0f%%%n",
+            point.size(),
+            point.value(),
+            point.spreadPercent()));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/Fleet.java
@@ -0,0 +1,211 @@
+package org.toucanrack.bench.capacity;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import org.toucanrack.configuration.BackendServer;
+import org.toucanrack.configuration.Configuration;
+import org.toucanrack.configuration.Customer;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.Key;
+import org.toucanrack.configuration.Region;
+import org.toucanrack.configuration.Route;
+import org.toucanrack.configuration.Rules;
+import org.toucanrack.configuration.Service;
+import org.toucanrack.configuration.ServiceVersion;
+import org.toucanrack.configuration.ShiftRule;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.RouteId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.id.VmId;
+import org.toucanrack.internal.coordination.lease.DomainRow;
+import org.toucanrack.internal.coordination.lease.Holding;
+import org.toucanrack.internal.coordination.lease.ResourceId;
+import org.toucanrack.internal.coordination.lease.RowMember;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.internal.state.KeyFreshness;
+import org.toucanrack.internal.state.LeaseView;
+import org.toucanrack.internal.state.Member;
+import org.toucanrack.internal.state.Ownership;
+import org.toucanrack.internal.state.RateShareId;
+
+/**
+ * A generated deployment of a given size with its owners; equal for equal sizes.
+ *
+ * @param domains failure domains, spread over up to 14 regions
+ * @param membersPerDomain entry VMs of each failure domain
+ * @param services services with four routes each
+ * @param servers backend servers, spread over services and failure domains
+ * @param customers customers, each with one share in each failure domain
+ * @param keys granted keys
+ */
+record Fleet(
+    int domains, int membersPerDomain, int services, int servers, int customers, int keys) {
+
+  private static final int REGIONS = 14;
+  private static final int ROUTES = 4;
+  private static final long SEED = 1;
+  private static final VersionId VERSION = new VersionId("v1");
+
+  Configuration configuration() {
+    Random random = new Random(SEED);
+    return new Configuration(
+        1,
+        new Deployment(
+            "capacity",
+            regions(),
+            List.of(),
+            list(services, Fleet::service),
+            list(services, i -> new ServiceVersion(serviceId(i), VERSION, 1, Optional.empty())),
+            list(servers, this::server),
+            list(customers, i -> new Customer(customerId(i), 100 + i % 900, 200, 1 + i % 3)),
+            new Rules(
+                new ShiftRule(0.1, Duration.ofSeconds(10)),
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(4))),
+        list(keys, i -> new Key("key-" + i, customerId(i % customers), hash(random))));
+  }
+
+  private static <T> List<T> list(int size, IntFunction<T> create) {
+    return IntStream.range(0, size).mapToObj(create).toList();
+  }
+
+  private static String hash(Random random) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < 4; i++) {
+      text.append(String.format("%016x", random.nextLong()));
+    }
+    return text.toString();
+  }
+
+  private List<Region> regions() {
+    Map<Integer, List<FailureDomainId>> byRegion = new TreeMap<>();
+    for (int i = 0; i < domains; i++) {
+      byRegion.computeIfAbsent(i % REGIONS, key -> new ArrayList<>()).add(domain(i));
+    }
+    return byRegion.entrySet().stream()
+        .map(entry -> new Region(new RegionId("region-" + entry.getKey()), entry.getValue()))
+        .toList();
+  }
+
+  private static Service service(int i) {
+    List<Route> routes =
+        list(
+            ROUTES,
+            r ->
+                new Route(
+                    new RouteId("route-" + r),
+                    Set.of("GET", "POST"),
+                    "/path-" + r,
+                    r % 2 == 0,
+                    false,
+                    Duration.ofSeconds(2),
+                    65_536));
+    return new Service(serviceId(i), routes, 0.1, 256, false);
+  }
+
+  private BackendServer server(int i) {
+    String host = "10." + (i >> 16) + "." + (i >> 8 & 255) + "." + (i & 255);
+    return new BackendServer(
+        serverId(i), serviceId(i % services), VERSION, domain(i % domains), host, 8080, 8, 350);
+  }
+
+  static FailureDomainId domain(int i) {
+    return new FailureDomainId("region-" + i % REGIONS + "-fd-" + i / REGIONS);
+  }
+
+  static ServiceId serviceId(int i) {
+    return new ServiceId("service-" + i);
+  }
+
+  static CustomerId customerId(int i) {
+    return new CustomerId("customer-" + i);
+  }
+
+  static BackendServerId serverId(int i) {
+    return new BackendServerId("server-" + i);
+  }
+
+  Member member(int domain, int index) {
+    int number = domain * membersPerDomain + index;
+    String host = "10.200." + (number >> 8) + "." + (number & 255) + ":";
+    Incarnation incarnation =
+        new Incarnation(new VmId("vm-" + number), 1 + new Random(number).nextLong(Long.MAX_VALUE));
+    return new Member(incarnation, domain(domain), host + 8080, host + 8082, false);
+  }
+
+  /** Returns the VM through whose eyes a snapshot is built; it owns resources of its domain. */
+  Member self() {
+    return member(0, 0);
+  }
+
+  private Member ownerIn(int domain, int resource) {
+    return member(domain, resource % membersPerDomain);
+  }
+
+  ControlSnapshot snapshot() {
+    Map<Incarnation, Member> members = new HashMap<>();
+    Map<RateShareId, Incarnation> shares = new HashMap<>();
+    for (int d = 0; d < domains; d++) {
+      for (int m = 0; m < membersPerDomain; m++) {
+        Member member = member(d, m);
+        members.put(member.incarnation(), member);
+      }
+      for (int c = 0; c < customers; c++) {
+        shares.put(new RateShareId(customerId(c), domain(d), 0), ownerIn(d, c).incarnation());
+      }
+    }
+    Map<BackendServerId, Incarnation> owners = new HashMap<>();
+    for (int s = 0; s < servers; s++) {
+      owners.put(serverId(s), ownerIn(s % domains, s / domains).incarnation());
+    }
+    long now = System.nanoTime();
+    return new ControlSnapshot(
+        self(),
+        Optional.of(configuration()),
+        members,
+        new Ownership(owners, shares),
+        new LeaseView(now + 10_000_000_000L, false, now),
+        new KeyFreshness(now),
+        List.of(),
+        List.of(),
+        true);
+  }
+
+  /** Returns the row of a failure domain, as its relay writes it after all is assigned. */
+  DomainRow row(int domain) {
+    Map<Incarnation, RowMember> members = new HashMap<>();
+    for (int m = 0; m < membersPerDomain; m++) {
+      Member member = member(domain, m);
+      members.put(member.incarnation(), new RowMember(member, 86_400 + m, 3_400));
+    }
+    SortedMap<ResourceId, Holding> holdings = new TreeMap<>();
+    for (int s = domain; s < servers; s += domains) {
+      holdings.put(ResourceId.of(serverId(s)), holding(domain, s / domains, 6_000));
+    }
+    for (int c = 0; c < customers; c++) {
+      holdings.put(ResourceId.of(customerId(c), 0), holding(domain, c, 4_000));
+    }
+    return new DomainRow(
+        domain(domain), 1_000, 5_000, 3_400, "row-4b1d2a7c9e3f5a61-86400", members, holdings);
+  }
+
+  private Holding holding(int domain, int resource, long quarantineMillis) {
+    Incarnation owner = ownerIn(domain, resource).incarnation();
+    return new Holding(Optional.of(owner), 1_000 + resource, quarantineMillis, false);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/LookUpSlope.java
@@ -0,0 +1,67 @@
+package org.toucanrack.bench.capacity;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Random;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.coordination.routing.ClientBlocks;
+import org.toucanrack.internal.coordination.routing.LookUpOrder;
+import org.toucanrack.internal.coordination.routing.RoutingIndex;
+import org.toucanrack.internal.state.ControlSnapshot;
+
+/**
+ * Look-up answers against entry VMs, services and failure domains, and the index that serves them.
+ * An answer is built as the callers' port builds it, without HTTP.
+ */
+final class LookUpSlope implements Slope {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int DOMAINS = 47;
+
+  @Override
+  public void measure(Scale scale, Figures figures) {
+    for (int members : new int[] {16, 32, 64}) {
+      Fleet fleet = new Fleet(DOMAINS, scale.of(members), 50, scale.of(1_000), 10, 10);
+      measure(figures, "entry VMs", DOMAINS * scale.of(members), fleet);
+    }
+    for (int servers : new int[] {250, 1_000, 4_000}) {
+      Fleet fleet = new Fleet(DOMAINS, scale.of(64), 50, scale.of(servers), 10, 10);
+      measure(figures, "backend servers", scale.of(servers), fleet);
+    }
+    for (int services : new int[] {12, 50, 200}) {
+      Fleet fleet = new Fleet(DOMAINS, scale.of(64), services, scale.of(1_000), 10, 10);
+      measure(figures, "services", services, fleet);
+    }
+    for (int domains : new int[] {12, 24, 47}) {
+      Fleet fleet = new Fleet(domains, scale.of(64), 50, scale.of(1_000), 10, 10);
+      measure(figures, "failure domains", domains, fleet);
+    }
+  }
+
+  private static void measure(Figures figures, String axis, long size, Fleet fleet) {
+    ControlSnapshot snapshot = fleet.snapshot();
+    Figures.At at = figures.at("look-up", axis, size);
+    at.cpu("routing index build", () -> new RoutingIndex(snapshot));
+    RoutingIndex index = new RoutingIndex(snapshot);
+    ClientBlocks blocks = new ClientBlocks(BlockSlope.blocks(10_000));
+    FailureDomainId own = fleet.self().failureDomain();
+    Random random = new Random(3);
+    at.exact("answer", "B", answer(index, blocks, own, 1).length());
+    at.cpu("answer", () -> answer(index, blocks, own, random.nextInt()));
+  }
+
+  private static String answer(
+      RoutingIndex index, ClientBlocks blocks, FailureDomainId own, int address) {
+    ServiceId service = Fleet.serviceId(0);
+    List<FailureDomainId> preferred = blocks.find(address).orElse(List.of());
+    ObjectNode body = JSON.createObjectNode();
+    body.put("service", service.value());
+    body.put("ttlSeconds", 10);
+    String client = Integer.toUnsignedString(address);
+    LookUpOrder.entries(index, service, preferred, own, client)
+        .forEach(body.putArray("entries")::add);
+    return body.toString();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/Scale.java
@@ -0,0 +1,34 @@
+package org.toucanrack.bench.capacity;
+
+/** How large the sizes of a run are and how long each figure is measured. */
+enum Scale {
+  /** Shows only that every slope runs; its figures mean nothing. */
+  TINY(0.02, 1, 1),
+  /** The sizes of the scale target. */
+  TARGET(1, 150, 30);
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final double fraction;
+  private final long warmUpMillis;
+  private final long repeatMillis;
+
+  Scale(double fraction, long warmUpMillis, long repeatMillis) {
+    this.fraction = fraction;
+    this.warmUpMillis = warmUpMillis;
+    this.repeatMillis = repeatMillis;
+  }
+
+  /** Returns the size to use for a size of the target. */
+  int of(int targetSize) {
+    return (int) Math.max(1, Math.round(targetSize * fraction));
+  }
+
+  long warmUpNanos() {
+    return warmUpMillis * NANOS_PER_MILLI;
+  }
+
+  long repeatNanos() {
+    return repeatMillis * NANOS_PER_MILLI;
+  }
+}
