Answer requests whose handling fails in this VM

Cause: an exception in a collaborator during an attempt was swallowed by the completion stage, so that the caller got no answer and a ticket stayed in use. A ticket request with a body left its bytes on the connection.

Outcomes are observed after the answer is given. Look-up and ticket requests read their body. Responses are bounded by 15 MiB, below the longest message between VMs, since a longer one would break the connection for all forwards.

Ruled out: not-run for these failures, since an attempt may be under way.

Conclusion: no path of a request ends without an answer, as far as reviewed.

--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/Attempts.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/Attempts.java
@@ -1,5 +1,7 @@
 package org.toucanrack.internal.transport.http;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +27,8 @@
  */
 final class Attempts {
 
+  private static final Logger LOGGER = System.getLogger(Attempts.class.getName());
+
   private final TrafficCollaborators collaborators;
   private final Routing routing;
   private final AttemptSender sender;
@@ -126,9 +130,17 @@
   private void ended(Attempt attempt, ForwardAnswer result, long beganNanos) {
     routing.end(attempt.owner(), request.service().id(), result);
     boolean last = unregister(attempt, result);
-    if (answer.isDone()) {
-      return;
+    if (!answer.isDone()) {
+      try {
+        decide(result, last, beganNanos);
+      } catch (RuntimeException e) {
+        LOGGER.log(Level.ERROR, "[traffic] A request failed in this VM.", e);
+        finish(Answers.mayHaveRun(ErrorCode.INTERNAL, "The request failed in this VM."));
+      }
     }
+  }
+
+  private void decide(ForwardAnswer result, boolean last, long beganNanos) {
     long now = collaborators.clock().getAsLong();
     if (Answers.verdictOf(result) == Verdict.RAN) {
       retries.hedgeDelay(request).record(now - beganNanos);
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/BackendClient.java
@@ -36,7 +36,10 @@
   private static final Duration KEEP_ALIVE_TIMEOUT = Duration.ofSeconds(20);
   private static final Duration LONGEST_CALL = Duration.ofMinutes(10);
   private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
-  private static final int MAX_RESPONSE_BYTES = 16 << 20;
+
+  /** Below the longest message between VMs, with room for headers. */
+  private static final int MAX_RESPONSE_BYTES = 15 << 20;
+
   private static final int MAX_CANCEL_RESPONSE_BYTES = 64 << 10;
   private static final ForwardAnswer CANCELLED =
       Answers.mayHaveRun(ErrorCode.OUTCOME_UNKNOWN, "The request was cancelled while it ran.");
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerServlet.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/CallerServlet.java
@@ -6,6 +6,8 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
@@ -16,7 +18,9 @@
 /** Serves the requests of callers on one event loop. */
 final class CallerServlet implements AsyncServlet {
 
+  private static final Logger LOGGER = System.getLogger(CallerServlet.class.getName());
   private static final HttpHeader TICKET = HttpHeaders.of("Toucanrack-Ticket");
+  private static final int MAX_CONTROL_BODY_BYTES = 1024;
   private static final ForwardAnswer BODY_TOO_LARGE =
       Answers.notRun(ErrorCode.BODY_TOO_LARGE, "The body is over the route's limit.");
 
@@ -46,12 +50,26 @@
   public Promise<HttpResponse> serve(HttpRequest request) {
     CheckedSocket socket = (CheckedSocket) request.getConnection().getUserData();
     socket.beginServing();
-    return answer(request, socket).whenComplete(socket::endServing);
+    return answer(request, socket)
+        .then(Promise::of, failure -> Promise.of(internalError(failure)))
+        .whenComplete(socket::endServing);
+  }
+
+  /** A caller that closed the connection is no error. */
+  private static HttpResponse internalError(Exception failure) {
+    LOGGER.log(Level.DEBUG, "[traffic] A request ended without an answer.", failure);
+    return CallerResponse.of(
+        Answers.mayHaveRun(ErrorCode.INTERNAL, "The request failed in this VM."), false);
   }
 
   private Promise<HttpResponse> answer(HttpRequest request, CheckedSocket socket) {
     if (request.getPath().startsWith(ControlServlet.PATH_PREFIX)) {
-      return Promise.of(control.serve(request));
+      return BodyReader.read(request, MAX_CONTROL_BODY_BYTES)
+          .map(
+              body ->
+                  body.isEmpty()
+                      ? refused(request, socket, BODY_TOO_LARGE)
+                      : control.serve(request));
     }
     long arrivedNanos = collaborators.clock().getAsLong();
     Admission.Result result = admission.admit(request, arrivedNanos);
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/DispatchedRequest.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/DispatchedRequest.java
@@ -90,12 +90,12 @@
     call.stopped()
         .thenRun(
             () -> dispatcher.release(grant, outcomeOf(result), collaborators.clock().getAsLong()));
+    answer.complete(result);
     if (outcomeOf(result) != SlotOutcome.CANCELLED) {
       collaborators
           .versionSelector()
           .observe(observation(grant, result, collaborators.clock().getAsLong()));
     }
-    answer.complete(result);
   }
 
   private Observation observation(SlotGrant grant, ForwardAnswer result, long now) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/RequestSender.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/RequestSender.java
@@ -1,11 +1,14 @@
 package org.toucanrack.internal.transport.http;
 
+import java.lang.System.Logger;
 import java.util.concurrent.CompletionStage;
 import org.toucanrack.internal.protocol.generated.ForwardAnswer;
 
 /** Sends admitted requests to owners of backend servers, here or on other VMs. Thread-safe. */
 final class RequestSender {
 
+  private static final Logger LOGGER = System.getLogger(RequestSender.class.getName());
+
   private final TrafficCollaborators collaborators;
   private final Routing routing;
   private final AttemptSender attempts;
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/http/TicketsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/http/TicketsTest.java
@@ -20,7 +20,7 @@
   private static String issue(RawCaller caller) throws Exception {
     String response =
         caller
-            .send("POST /_toucanrack/tickets HTTP/1.1\r\nHost: t\r\nContent-Length: 0\r\n\r\n")
+            .send("POST /_toucanrack/tickets HTTP/1.1\r\nHost: t\r\nContent-Length: 2\r\n\r\n{}")
             .response();
     return response.replaceAll("(?s).*\"ticket\":\"([^\"]+)\".*", "$1");
   }
