--- a/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
@@ -54,7 +54,8 @@
 
   String toJson() {
     ObjectNode report = TableRecords.JSON.createObjectNode();
-    rows(configuration).forEach(row -> report.set("configuration", TableRecords.parse(row)));
+    rows(configuration)
+        .forEach(row -> report.set("configuration", TableRecords.parseOrDescribe(row)));
     putRows(report.putArray("domains"), domains);
     putRows(report.putArray("moves"), moves);
     putRows(report.putArray("rollouts"), rollouts);
@@ -76,13 +77,12 @@
     StringBuilder text = new StringBuilder();
     problem().ifPresent(reason -> text.append("The platform did not answer: " + reason + "\n"));
     text.append("Configuration: ").append(describeConfiguration()).append('\n');
-    section(text, "VMs", members().stream().map(StatusReport::describe).toList());
-    section(text, "Moves", describe(moves, MoveText::describe));
-    section(text, "Rollouts", describe(rollouts, StatusReport::describeRollout));
-    section(text, "Drains", describe(drains, StatusReport::describeDrain));
-    if (!vms.isEmpty()) {
-      section(text, "Operators' ports", vms.stream().map(StatusReport::describe).toList());
-    }
+    section(text, "VMs", domains, members().stream().map(StatusReport::describe).toList());
+    section(text, "Moves", moves, describe(moves, MoveText::describe));
+    section(text, "Rollouts", rollouts, describe(rollouts, StatusReport::describeRollout));
+    section(text, "Drains", drains, describe(drains, StatusReport::describeDrain));
+    text.append("Operators' ports asked: ").append(vms.size()).append('\n');
+    vms.forEach(vm -> text.append("  ").append(describe(vm)).append('\n'));
     return text.toString().stripTrailing();
   }
 
@@ -101,7 +101,7 @@
 
   private String describeConfiguration() {
     return rows(configuration).stream()
-        .map(TableRecords::parse)
+        .map(TableRecords::parseOrDescribe)
         .map(
             row ->
                 "version %d, based on %d, written by %s"
@@ -122,7 +122,9 @@
         .map(
             row -> {
               String name = row.key().substring(row.key().indexOf('/') + 1);
-              return name + ": " + describer.describe(TableRecords.parse(row));
+              JsonNode value = TableRecords.parseOrDescribe(row);
+              boolean readable = !value.has("unreadable");
+              return name + ": " + (readable ? describer.describe(value) : "not a JSON object");
             })
         .toList();
   }
@@ -156,14 +158,16 @@
         .formatted(drain.path("since").asText(), drain.path("operator").asText());
   }
 
-  private static void section(StringBuilder text, String title, List<String> lines) {
-    text.append(title).append(": ").append(lines.isEmpty() ? "none" : lines.size()).append('\n');
+  private static void section(
+      StringBuilder text, String title, StoreAnswer<List<Row>> answer, List<String> lines) {
+    String count = answer.isDone() ? Integer.toString(lines.size()) : "unknown";
+    text.append(title).append(": ").append(count).append('\n');
     lines.forEach(line -> text.append("  ").append(line).append('\n'));
   }
 
   private static void putRows(ArrayNode array, StoreAnswer<List<Row>> answer) {
     for (Row row : rows(answer)) {
-      array.addObject().put("key", row.key()).set("value", TableRecords.parse(row));
+      array.addObject().put("key", row.key()).set("value", TableRecords.parseOrDescribe(row));
     }
   }
 
--- a/toucanrack/src/test/java/org/toucanrack/internal/command/ProgramTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/command/ProgramTest.java
@@ -164,6 +164,17 @@
     Approvals.verify(output());
   }
 
+  @Test
+  void drainsTheServerOfTheFlagWhenTheEnvironmentNamesVm() {
+    run("apply", "-f", SAHA);
+    Map<String, String> environment = Map.of("TOUCANRACK_VM", "vm-1");
+
+    ExitCode code = run(environment, "drain", "--backend-server", "dutyview-amman-a-1");
+
+    assertEquals(ExitCode.DONE, code);
+    assertTrue(output().contains("backend-server 'dutyview-amman-a-1' is being drained."));
+  }
+
   @Test
   void startsShowsAndAbortsMovesWithinTheRule() {
     run("apply", "-f", SAHA);
@@ -214,6 +225,7 @@
     platform.putRow(
         "rollout/dutyview/v2",
         "{\"state\":\"taken back\",\"share\":0.0,\"reason\":\"Errors on route view.\"}");
+    platform.putRow("move/broken", "not json");
     platform.putRow("drain/vm/vm-1", "{\"since\":\"2026-12-04T00:00:00Z\",\"operator\":\"op\"}");
     output.reset();
 
