Put splits of moves through the shift gate

Cause: the chooser took splits as bounded by the steps of their move and did not ask the gate.

Ruled out: refusing split traffic over the cap; it stays at home instead.

Change: split traffic asks the gate, with home as its source; failover asks from home as well.

Conclusion: the gate can see every shifted request.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/DestinationChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/routing/DestinationChooser.java
@@ -14,10 +14,9 @@
 /**
  * Chooses the failure domain and the owner of one attempt.
  *
- * <p>Traffic stays in its own failure domain, or where a split of a move sends it. Only when no
- * owner there is usable it goes elsewhere, within the shift gate, the link budget and the free
- * slots there. A split needs no gate: each change of a split is bounded by the steps of its move.
- * Thread-safe.
+ * <p>Traffic stays in its own failure domain, or goes where a split of a move sends it, as far as
+ * the shift gate allows. When no owner there is usable it goes elsewhere, within the shift gate,
+ * the link budget and the free slots there. Thread-safe.
  */
 public final class DestinationChooser {
 
@@ -45,40 +44,48 @@
     FailureDomainId home = domains.get(0);
     FailureDomainId planned = planned(request, splits, home);
     Optional<OwnerSlots> there = usable(request, index, planned);
-    if (there.isPresent() && linkAdmits(request, planned)) {
+    if (there.isPresent() && linkAdmits(request, planned) && mayShift(request, home, planned)) {
       return new Destination.Owner(there.get().owner(), false);
     }
     return elsewhere(request, index, domains, planned);
   }
 
+  private boolean mayShift(RoutingRequest request, FailureDomainId home, FailureDomainId target) {
+    return target.equals(home)
+        || gate.tryShift(request.service(), home, target, request.nowNanos());
+  }
+
+  /** Home comes first if a split cannot be followed. */
   private Destination elsewhere(
       RoutingRequest request,
       RoutingIndex index,
       List<FailureDomainId> domains,
       FailureDomainId planned) {
-    boolean homeIsAlive = !index.owners(request.service(), request.version(), planned).isEmpty();
+    FailureDomainId home = domains.get(0);
+    boolean homeIsAlive = !index.owners(request.service(), request.version(), home).isEmpty();
     boolean capReached = false;
-    for (FailureDomainId domain : byHeadroom(request, index, domains, planned)) {
+    for (FailureDomainId domain : byHeadroom(request, index, domains, home)) {
       Optional<OwnerSlots> owner = usable(request, index, domain);
-      if (owner.isEmpty() || !linkAdmits(request, domain)) {
+      if (domain.equals(planned) || owner.isEmpty() || !linkAdmits(request, domain)) {
         continue;
       }
-      if (gate.tryShift(request.service(), planned, domain, request.nowNanos())) {
-        return new Destination.Owner(owner.get().owner(), homeIsAlive);
+      if (mayShift(request, home, domain)) {
+        boolean onlyIfFree = homeIsAlive && !domain.equals(home);
+        return new Destination.Owner(owner.get().owner(), onlyIfFree);
       }
       capReached = true;
     }
-    return lastResort(request, index, planned, capReached);
+    return lastResort(request, index, home, capReached);
   }
 
   /** An owner that refused a short time ago is still better than a refusal. */
   private Destination lastResort(
-      RoutingRequest request, RoutingIndex index, FailureDomainId planned, boolean capReached) {
+      RoutingRequest request, RoutingIndex index, FailureDomainId home, boolean capReached) {
     List<OwnerSlots> owners =
-        index.owners(request.service(), request.version(), planned).stream()
+        index.owners(request.service(), request.version(), home).stream()
             .filter(owner -> !request.excluded().contains(owner.owner().incarnation()))
             .toList();
-    if (!owners.isEmpty() && linkAdmits(request, planned)) {
+    if (!owners.isEmpty() && linkAdmits(request, home)) {
       return new Destination.Owner(lessLoaded(request, owners).owner(), false);
     }
     return capReached
@@ -116,11 +123,10 @@
       RoutingRequest request,
       RoutingIndex index,
       List<FailureDomainId> domains,
-      FailureDomainId planned) {
+      FailureDomainId home) {
     return domains.stream()
-        .filter(domain -> !domain.equals(planned))
         .sorted(
-            Comparator.<FailureDomainId>comparingInt(domain -> index.distance(planned, domain))
+            Comparator.<FailureDomainId>comparingInt(domain -> index.distance(home, domain))
                 .thenComparingDouble(domain -> loadOf(request, index, domain)))
         .toList();
   }
