--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/routing/DestinationChooserTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/routing/DestinationChooserTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.toucanrack.ErrorCode;
 import org.toucanrack.configuration.BackendServer;
@@ -71,28 +72,24 @@
   }
 
   @Test
-  void followsSplitsOfMovesWhileTheGatePermits() {
-    assertEquals(0.3, movedFractionWithSplit(0.3), 0.05);
-  }
+  void followsSplitsOfMovesAsFarAsTheGateAllows() {
+    RoutingIndex index = index();
+    List<TrafficSplit> splits = List.of(new TrafficSplit(SHOP, HOME, Map.of(NEAR, 0.3)));
 
-  /** Chance alone could send more than the cap's fraction of a short window. */
-  @Test
-  void keepsTrafficOfSplitAtHomeWhenTheGateRefuses() {
+    long moved = countMoved(index, splits);
     gateOpen = false;
+    long movedOverTheCap = countMoved(index, splits);
 
-    assertEquals(0, movedFractionWithSplit(0.3));
+    assertEquals(0.3, moved / 2000.0, 0.05);
+    assertEquals(0, movedOverTheCap);
+    assertEquals(owner(HOME, false), choose(index, Set.of(), splits));
   }
 
-  private double movedFractionWithSplit(double fraction) {
-    RoutingIndex index = index();
-    List<TrafficSplit> splits = List.of(new TrafficSplit(SHOP, HOME, Map.of(NEAR, fraction)));
-    long moved =
-        random
-            .doubles(2000)
-            .mapToObj(point -> choose(index, Set.of(), splits))
-            .filter(owner(NEAR, false)::equals)
-            .count();
-    return moved / 2000.0;
+  private long countMoved(RoutingIndex index, List<TrafficSplit> splits) {
+    return IntStream.range(0, 2000)
+        .mapToObj(i -> choose(index, Set.of(), splits))
+        .filter(owner(NEAR, false)::equals)
+        .count();
   }
 
   @Test
