Stop using a rate share before it is handed over

Cause: a share counted as released at once, while its old owner gave out tokens until the next

Measured: the limiter's property tests pass with shares granted through usable resources.

--- a/bench/src/main/java/org/toucanrack/bench/capacity/Fleet.java
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/Fleet.java
@@ -42,6 +42,8 @@
 import org.toucanrack.internal.state.Member;
 import org.toucanrack.internal.state.Ownership;
 import org.toucanrack.internal.state.RateShareId;
+import org.toucanrack.internal.state.ResourceGrant;
+import org.toucanrack.internal.state.UsableResources;
 
 /**
  * A generated deployment of a given size with its owners; equal for equal sizes.
@@ -183,7 +185,19 @@
         new KeyFreshness(now),
         List.of(),
         List.of(),
-        true);
+        true,
+        usable(shares));
+  }
+
+  private UsableResources usable(Map<RateShareId, Incarnation> shares) {
+    Map<RateShareId, ResourceGrant> grants = new HashMap<>();
+    shares.forEach(
+        (share, owner) -> {
+          if (owner.equals(self().incarnation())) {
+            grants.put(share, new ResourceGrant(1, 0));
+          }
+        });
+    return new UsableResources(Map.of(), grants);
   }
 
   /** Returns the row of a failure domain, as its relay writes it after all is assigned. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerShares.java
@@ -45,7 +45,8 @@
       RateShareId id = new RateShareId(customer.id(), domain, 0);
       Incarnation holder = snapshot.ownership().rateShares().get(id);
       if (snapshot.self().incarnation().equals(holder)) {
-        owner = true;
+        // A share that is being handed over is owned but no longer usable.
+        owner = snapshot.usable().rateShares().containsKey(id);
       } else if (holder != null) {
         givers.add(holder);
       }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerTokens.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerTokens.java
@@ -188,6 +188,15 @@
     return own + borrowed.available(nowNanos);
   }
 
+  boolean usesShare() {
+    lock.lock();
+    try {
+      return account != null;
+    } finally {
+      lock.unlock();
+    }
+  }
+
   private boolean permitsAccount(long nowNanos) {
     return account != null && permitsShares.test(nowNanos);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/EscrowRateLimiter.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/EscrowRateLimiter.java
@@ -51,6 +51,12 @@
             customers.computeIfAbsent(id, key -> create(key, share)).configure(share, nowNanos));
   }
 
+  /** Returns whether this VM still gives out tokens of its own share of a customer's rate. */
+  public boolean usesShare(CustomerId customer) {
+    CustomerTokens tokens = customers.get(customer);
+    return tokens != null && tokens.usesShare();
+  }
+
   @Override
   public CompletionStage<RateDecision> acquire(CustomerId customer, long nowNanos) {
     CustomerTokens tokens = customers.get(customer);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
@@ -15,6 +15,7 @@
 import org.toucanrack.id.Incarnation;
 import org.toucanrack.internal.configuration.ConfigurationCodec;
 import org.toucanrack.internal.coordination.control.ControlPlane;
+import org.toucanrack.internal.coordination.lease.ResourceId;
 import org.toucanrack.internal.coordination.limit.EscrowRateLimiter;
 import org.toucanrack.internal.state.ControlSnapshot;
 import org.toucanrack.internal.state.Member;
@@ -125,6 +126,14 @@
     rateLimiter.expire(nowNanos);
   }
 
+  /** Stops the use of a resource that is handed over; true when nothing uses it any more. */
+  private boolean stopUse(ResourceId resource, long epoch) {
+    return resource
+        .rateShare(settings.failureDomain())
+        .map(share -> !rateLimiter.usesShare(share.customer()))
+        .orElseGet(() -> dispatchers.stop(resource, epoch, System.nanoTime()));
+  }
+
   /** Carries moves on. Called about once a second. */
   void advanceMoves(long nowNanos) {
     moves.run(nowNanos);
@@ -160,7 +169,7 @@
         self,
         settings.peers().stream().map(EntryVm::text).toList(),
         EntryVm::decode,
-        (resource, epoch) -> dispatchers.stop(resource, epoch, System.nanoTime()),
+        this::stopUse,
         new OperatorParts(this::deployment),
         System::nanoTime);
   }
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/limit/LimitSimulation.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/limit/LimitSimulation.java
@@ -28,6 +28,8 @@
 import org.toucanrack.internal.state.Member;
 import org.toucanrack.internal.state.Ownership;
 import org.toucanrack.internal.state.RateShareId;
+import org.toucanrack.internal.state.ResourceGrant;
+import org.toucanrack.internal.state.UsableResources;
 
 /** Limiters of several VMs with simulated time and a network that delays, loses and duplicates. */
 final class LimitSimulation {
@@ -193,7 +195,21 @@
         new KeyFreshness(0),
         List.of(),
         List.of(),
-        true);
+        true,
+        usable(vm, ownership));
+  }
+
+  private UsableResources usable(int vm, Ownership ownership) {
+    Map<RateShareId, ResourceGrant> grants = new HashMap<>();
+    ownership
+        .rateShares()
+        .forEach(
+            (share, owner) -> {
+              if (owner.equals(incarnations[vm])) {
+                grants.put(share, new ResourceGrant(1, 0));
+              }
+            });
+    return new UsableResources(Map.of(), grants);
   }
 
   private Deployment deployment() {
