--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/lease/TakeoverJudgeTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/lease/TakeoverJudgeTest.java
@@ -25,7 +25,7 @@
     FailureDomainId domain = new FailureDomainId("alpha");
     Member member = new Member(HOLDER, domain, "127.0.0.1:1", "127.0.0.1:2", false);
     return new DomainRow(
-        domain, 1, 0, 0, "op", Map.of(HOLDER, new RowMember(member, counter)), new TreeMap<>());
+        domain, 1, 0, 0, "op", Map.of(HOLDER, new RowMember(member, counter, 1)), new TreeMap<>());
   }
 
   @BeforeEach
