Give open connections a last response before a planned stop closes them

Cause: after the time to live, connections between two requests were closed at once, which loses a request that is on its way.

Ruled out: closing after each response from the start of the drain, which makes callers connect anew for the whole time to live.

Change: responses carry Connection: close from the end of the time to live, and idle connections are closed one second later.

Conclusion: a request sent on a connection that was idle for over a second at that moment can still be lost, as with any HTTP/1.1 server.

--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/http/TrafficServer.java
@@ -33,6 +33,12 @@
  */
 public final class TrafficServer implements AutoCloseable {
 
+  /**
+   * Time in which callers that use their connection learn from a last response that it closes. A
+   * request that is sent while its connection is closed would be lost.
+   */
+  private static final Duration LAST_RESPONSE_TIME = Duration.ofSeconds(1);
+
   private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(20);
 
   private final List<Eventloop> loops = new ArrayList<>();
@@ -108,13 +114,13 @@
   public CompletableFuture<Void> drain(Duration timeToLive) {
     draining = true;
     CompletableFuture<Void> drained = new CompletableFuture<>();
-    CompletableFuture.delayedExecutor(timeToLive.toNanos(), TimeUnit.NANOSECONDS)
-        .execute(
-            () -> {
-              closing = true;
-              onLoop(acceptor, primary::close);
-              awaitIdle(drained);
-            });
+    later(
+        timeToLive,
+        () -> {
+          closing = true;
+          onLoop(acceptor, primary::close);
+          later(LAST_RESPONSE_TIME, () -> awaitIdle(drained));
+        });
     return drained;
   }
 
@@ -125,11 +131,14 @@
     if (open.get() == 0) {
       drained.complete(null);
     } else {
-      CompletableFuture.delayedExecutor(DRAIN_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
-          .execute(() -> awaitIdle(drained));
+      later(DRAIN_CHECK_INTERVAL, () -> awaitIdle(drained));
     }
   }
 
+  private static void later(Duration delay, Runnable action) {
+    CompletableFuture.delayedExecutor(delay.toNanos(), TimeUnit.NANOSECONDS).execute(action);
+  }
+
   @Override
   public void close() {
     onLoop(acceptor, primary::close);
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/http/PlannedStopTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/http/PlannedStopTest.java
@@ -56,4 +56,21 @@
       assertTrue(uploading.closedByServer());
     }
   }
+
+  @Test
+  void answersOpenConnectionsOnceMoreAfterTheTimeToLive() throws Exception {
+    try (RawBackend backend = new RawBackend(RawBackend.ok("hello"));
+        TrafficFixture fixture = TrafficFixture.start(backend);
+        RawCaller caller = fixture.caller()) {
+      caller.send(TrafficFixture.get("/shop/a")).response();
+
+      fixture.server.drain(Duration.ofMillis(100));
+      Thread.sleep(400);
+      String last = caller.send(TrafficFixture.get("/shop/a")).response();
+
+      assertTrue(last.endsWith("hello"), last);
+      assertTrue(last.toLowerCase().contains("connection: close"), last);
+      assertTrue(caller.closedByServer());
+    }
+  }
 }
