--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/CandidateRollout.java
@@ -0,0 +1,51 @@
+package org.toucanrack.internal.coordination.rollout;
+
+import java.util.Optional;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.internal.coordination.rollout.VersionSelector.Observation;
+
+/** Exposure and judgement of one candidate version on this VM. Thread-safe. */
+final class CandidateRollout {
+
+  /** Consecutive requests to a version under probe, the usual number of slots of a server. */
+  private static final int PROBE_BURST = 3;
+
+  private final VersionId version;
+  private final CountedExposure exposure = new CountedExposure();
+  private final SequentialJudge judge = new SequentialJudge();
+  private boolean stopped;
+
+  CandidateRollout(VersionId version) {
+    this.version = version;
+  }
+
+  VersionId version() {
+    return version;
+  }
+
+  synchronized void share(double share) {
+    exposure.share(share, share <= RolloutPlanner.MAX_PROBE_SHARE ? PROBE_BURST : 1);
+  }
+
+  synchronized boolean expose() {
+    return !stopped && exposure.next();
+  }
+
+  /** Stops the exposure; returns whether it was not stopped before. */
+  synchronized boolean stop() {
+    boolean first = !stopped;
+    stopped = true;
+    return first;
+  }
+
+  /** Returns the fault that this observation proves, only the first time. */
+  synchronized Optional<String> observe(Observation observation) {
+    if (stopped) {
+      return Optional.empty();
+    }
+    boolean candidate = observation.version().equals(version);
+    Optional<String> fault = judge.observe(observation, candidate, exposure.currentShare());
+    stopped = fault.isPresent();
+    return fault;
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/CountedExposure.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/CountedExposure.java
@@ -1,7 +1,7 @@
 package org.toucanrack.internal.coordination.rollout;
 
 /**
- * Exposes a candidate version by count.
+ * Exposes a candidate version by count, in bursts of consecutive requests.
  *
  * <p>Invariant: with a constant share, of n requests at most ceil(share x n) are exposed. Not
  * thread-safe.
@@ -9,25 +9,42 @@
 final class CountedExposure {
 
   private double share;
+  private int burst = 1;
   private long requests;
   private long exposed;
+  private int left;
 
-  /** Changes the share; counts start anew, since the bound applies per share. */
-  void share(double newShare) {
-    if (newShare != share) {
+  /**
+   * Changes the share; counts start anew, since the bound applies per share.
+   *
+   * @param newBurst consecutive requests to expose, to put servers under load at a small share
+   */
+  void share(double newShare, int newBurst) {
+    if (newShare != share || newBurst != burst) {
       share = newShare;
+      burst = Math.max(1, newBurst);
       requests = 0;
       exposed = 0;
+      left = 0;
     }
   }
 
   /** Counts one request and returns whether it is exposed. */
   boolean next() {
     requests++;
-    if (exposed + 1 > Math.ceil(share * requests)) {
+    double permitted = Math.ceil(share * requests) - exposed;
+    if (left == 0 && permitted >= burst) {
+      left = burst;
+    }
+    if (left == 0) {
       return false;
     }
+    left--;
     exposed++;
     return true;
   }
+
+  double currentShare() {
+    return share;
+  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/RolloutSelector.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/RolloutSelector.java
@@ -3,52 +3,93 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.toucanrack.configuration.ServiceVersion;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.RouteId;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.id.VersionId;
 import org.toucanrack.internal.state.VersionShare;
 
-/** Selects versions by counted exposure to the candidates' shares. Thread-safe. */
+/**
+ * Selects versions by counted exposure and stops a candidate at once when a fault is proved.
+ *
+ * <p>Invariant: a version that was stopped here gets no request until its declaration number rises,
+ * whatever share is published meanwhile. Thread-safe.
+ */
 public final class RolloutSelector implements VersionSelector {
 
-  private record Candidate(VersionId version, CountedExposure exposure) {}
-
   private final Map<ServiceId, VersionId> current = new ConcurrentHashMap<>();
-  private final Map<ServiceId, Candidate> candidates = new ConcurrentHashMap<>();
+  private final Map<ServiceId, CandidateRollout> candidates = new ConcurrentHashMap<>();
+  private final Map<ServiceId, ServiceVersion> declared = new ConcurrentHashMap<>();
+  private final FaultListener listener;
+
+  /** Creates a selector whose faults are only acted on locally. */
+  public RolloutSelector() {
+    this((service, version, reason) -> {});
+  }
+
+  /** Creates a selector that reports the faults it proves. */
+  public RolloutSelector(FaultListener listener) {
+    this.listener = listener;
+  }
+
+  /** Adopts declarations; a version that was declared anew is judged anew. */
+  public void declare(List<ServiceVersion> versions) {
+    versions.stream().filter(ServiceVersion::isCandidate).forEach(this::adopt);
+  }
 
   /** Adopts the versions that carry traffic now and the shares of candidates. */
   public void update(Map<ServiceId, VersionId> currentVersions, List<VersionShare> shares) {
     current.keySet().retainAll(currentVersions.keySet());
     current.putAll(currentVersions);
-    candidates.keySet().removeIf(id -> shares.stream().noneMatch(s -> s.service().equals(id)));
-    shares.forEach(share -> candidates.compute(share.service(), (id, old) -> adopt(old, share)));
+    for (VersionShare share : shares) {
+      candidates
+          .compute(share.service(), (id, old) -> sameOrNew(old, share.version()))
+          .share(share.share());
+    }
+    candidates.forEach(
+        (service, candidate) -> {
+          if (shares.stream().noneMatch(share -> share.service().equals(service))) {
+            candidate.share(0);
+          }
+        });
+  }
+
+  /** Stops a version on a peer's notice of a fault. */
+  public void stop(ServiceId service, VersionId version) {
+    candidates.compute(service, (id, old) -> sameOrNew(old, version)).stop();
   }
 
   @Override
   public VersionId select(ServiceId service, RouteId route, CustomerId customer, long nowNanos) {
-    Candidate candidate = candidates.get(service);
-    if (candidate == null) {
-      return current.get(service);
-    }
-    synchronized (candidate.exposure()) {
-      return candidate.exposure().next() ? candidate.version() : current.get(service);
-    }
+    CandidateRollout candidate = candidates.get(service);
+    boolean exposed = candidate != null && candidate.expose();
+    return exposed ? candidate.version() : current.get(service);
   }
 
   @Override
   public void observe(Observation observation) {
-    // Outcomes are judged in a later change.
+    CandidateRollout candidate = candidates.get(observation.service());
+    if (candidate != null) {
+      candidate
+          .observe(observation)
+          .ifPresent(
+              fault -> listener.faultSeen(observation.service(), candidate.version(), fault));
+    }
   }
 
-  private static Candidate adopt(Candidate old, VersionShare share) {
-    Candidate candidate =
-        old != null && old.version().equals(share.version())
-            ? old
-            : new Candidate(share.version(), new CountedExposure());
-    synchronized (candidate.exposure()) {
-      candidate.exposure().share(share.share());
+  private void adopt(ServiceVersion version) {
+    ServiceVersion before = declared.put(version.service(), version);
+    boolean anew =
+        before != null
+            && before.id().equals(version.id())
+            && version.declaration() > before.declaration();
+    if (anew) {
+      candidates.remove(version.service());
     }
-    return candidate;
+  }
+
+  private static CandidateRollout sameOrNew(CandidateRollout old, VersionId version) {
+    return old != null && old.version().equals(version) ? old : new CandidateRollout(version);
   }
 }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/SequentialJudge.java
@@ -0,0 +1,71 @@
+package org.toucanrack.internal.coordination.rollout;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanrack.id.RouteId;
+import org.toucanrack.internal.coordination.rollout.VersionSelector.Observation;
+
+/**
+ * Judges one candidate version against the current one, over all requests, per route and per
+ * customer, by errors and by slow answers.
+ *
+ * <p>Invariant: a candidate that is not worse is rejected on this VM with probability at most
+ * {@link #FALSE_ALARM_RATE}, however long it is judged. Not thread-safe.
+ */
+final class SequentialJudge {
+
+  /** Bound per VM and rollout; 10 VMs together stay under 1 in 1000. */
+  static final double FALSE_ALARM_RATE = 1e-4;
+
+  /** First answers of the candidate on this VM whose latency is not judged, as caches are cold. */
+  static final int COLD_ANSWERS = 20;
+
+  private final Map<String, EventComparison> comparisons = new HashMap<>();
+  private final Map<String, Integer> numbers = new HashMap<>();
+  private final Map<RouteId, SlowThreshold> thresholds = new HashMap<>();
+  private int candidateAnswers;
+
+  /** Records a request; returns a sentence on the fault if one is proved by it. */
+  Optional<String> observe(Observation observation, boolean candidate, double share) {
+    SlowThreshold threshold =
+        thresholds.computeIfAbsent(observation.route(), route -> new SlowThreshold());
+    final boolean slow = threshold.isSlow(observation.latencyNanos());
+    if (!candidate && !observation.failed()) {
+      threshold.learn(observation.latencyNanos());
+    }
+    Optional<String> errors =
+        compare("errors", observation, candidate, observation.failed(), share);
+    boolean cold = candidate && ++candidateAnswers <= COLD_ANSWERS;
+    if (errors.isPresent() || observation.failed() || cold || !threshold.isKnown()) {
+      return errors;
+    }
+    return compare("slow answers", observation, candidate, slow, share);
+  }
+
+  private Optional<String> compare(
+      String kind, Observation observation, boolean candidate, boolean event, double share) {
+    String[] groups = {
+      "all requests", "route " + observation.route(), "customer " + observation.customer()
+    };
+    Optional<String> fault = Optional.empty();
+    for (String group : groups) {
+      String key = kind + " on " + group;
+      EventComparison comparison =
+          comparisons.computeIfAbsent(key, unused -> new EventComparison());
+      numbers.putIfAbsent(key, numbers.size() + 1);
+      comparison.record(candidate, event, share);
+      if (fault.isEmpty() && comparison.logEvidence() >= limit(numbers.get(key))) {
+        fault = Optional.of("More " + key + " than the current version at the same time.");
+      }
+    }
+    return fault;
+  }
+
+  /**
+   * The k-th comparison may raise a false alarm with rate / (k (k + 1)), which sums to the rate.
+   */
+  private static double limit(int number) {
+    return Math.log(number * (number + 1.0) / FALSE_ALARM_RATE);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/SlowThreshold.java
@@ -0,0 +1,39 @@
+package org.toucanrack.internal.coordination.rollout;
+
+/**
+ * Estimates the latency above which an answer counts as slow, from answers of the current version.
+ * Not thread-safe.
+ */
+final class SlowThreshold {
+
+  /** Answers of the current version before the estimate is used. */
+  private static final int MIN_ANSWERS = 30;
+
+  private static final double QUANTILE = 0.9;
+
+  /** Slower than the quantile by this factor is slow; smaller differences are no fault. */
+  private static final double SLOW_FACTOR = 1.5;
+
+  private static final double STEP = 0.05;
+
+  private double logQuantile;
+  private int answers;
+
+  /** Moves the estimate by stochastic approximation of the quantile of the log latency. */
+  void learn(long latencyNanos) {
+    double value = Math.log(Math.max(1, latencyNanos));
+    if (answers == 0) {
+      logQuantile = value;
+    }
+    logQuantile += STEP * (value > logQuantile ? QUANTILE : QUANTILE - 1);
+    answers++;
+  }
+
+  boolean isKnown() {
+    return answers >= MIN_ANSWERS;
+  }
+
+  boolean isSlow(long latencyNanos) {
+    return isKnown() && latencyNanos > Math.exp(logQuantile) * SLOW_FACTOR;
+  }
+}
