Carry rollouts: owners step the record, faults stop at once, reach peers and are recorded

Change: RolloutDriver steps the record and repeats a fault's write until the record says taken back; FaultNotices stop a version on every known VM before it is recorded; an announced drain of a backend server goes before its lagging health endpoint for 30 s.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -12,7 +13,10 @@
 import java.util.stream.Collectors;
 import org.toucanrack.configuration.Configuration;
 import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.ServiceVersion;
 import org.toucanrack.id.Incarnation;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
 import org.toucanrack.internal.configuration.ConfigurationCodec;
 import org.toucanrack.internal.coordination.control.ControlPlane;
 import org.toucanrack.internal.coordination.lease.ResourceId;
@@ -51,8 +55,10 @@
   private final ControlPlane control;
   private final ServiceDispatchers dispatchers;
   private final EscrowRateLimiter rateLimiter;
-  private final Steering steering = new Steering();
+  private final Steering steering = new Steering(this::faultSeen);
+  private final FaultNotices faultNotices;
   private final MoveDriver moves;
+  private final RolloutDriver rollouts;
   private final TrafficServer traffic;
   private final Housekeeping housekeeping;
 
@@ -70,8 +76,13 @@
     rateLimiter = new EscrowRateLimiter(tokens, System::nanoTime, permits);
     tokens.serve(rateLimiter, System::nanoTime);
     control = new ControlPlane(controlSettings(self), platform, peers);
-    moves = new MoveDriver(control, dispatchers);
+    RecordWriter writer = new RecordWriter(control);
+    moves = new MoveDriver(control, writer, dispatchers);
+    rollouts = new RolloutDriver(writer, InstantSource.system());
+    faultNotices = new FaultNotices(peers, this::currentSnapshot);
+    faultNotices.listen(this::stopVersion);
     traffic = new TrafficServer(trafficSettings(), collaborators());
+    traffic.whenBackendDrains(server -> dispatchers.announcedDrain(server, System.nanoTime()));
     housekeeping = new Housekeeping(settings, registry, statusReader(), this);
     control.onSnapshot(this::adopt);
   }
@@ -134,9 +145,25 @@
         .orElseGet(() -> dispatchers.stop(resource, epoch, System.nanoTime()));
   }
 
-  /** Carries moves on. Called about once a second. */
-  void advanceMoves(long nowNanos) {
+  /** Carries moves and rollouts on. Called about once a second. */
+  void advance(long nowNanos) {
     moves.run(nowNanos);
+    rollouts.run(currentSnapshot(), control.records(RolloutDriver.PREFIX), nowNanos);
+  }
+
+  private void faultSeen(ServiceId service, VersionId version, String reason) {
+    faultNotices
+        .declared(service, version)
+        .ifPresent(
+            declared -> {
+              faultNotices.send(declared, reason);
+              rollouts.faultSeen(declared, reason);
+            });
+  }
+
+  private void stopVersion(ServiceVersion version, String reason) {
+    steering.versions().stop(version.service(), version.id());
+    rollouts.faultSeen(version, reason);
   }
 
   private Optional<Deployment> deployment() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/Housekeeping.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/Housekeeping.java
@@ -64,7 +64,7 @@
 
   private void poll() {
     eventloop.delay(HEALTH_PERIOD, this::poll);
-    vm.advanceMoves(System.nanoTime());
+    vm.advance(System.nanoTime());
     poller.poll(OwnedServerList.granted(vm.currentSnapshot()));
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/MoveDriver.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/MoveDriver.java
@@ -6,10 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
 import org.toucanrack.configuration.BackendServer;
 import org.toucanrack.configuration.Deployment;
-import org.toucanrack.id.OperationId;
 import org.toucanrack.internal.coordination.control.ControlPlane;
 import org.toucanrack.internal.coordination.move.MoveDecision;
 import org.toucanrack.internal.coordination.move.MovePlanner;
@@ -17,7 +15,6 @@
 import org.toucanrack.internal.coordination.move.MoveState;
 import org.toucanrack.internal.state.ControlSnapshot;
 import org.toucanrack.platform.Row;
-import org.toucanrack.platform.Transaction;
 
 /**
  * Carries the steps of moves. Every VM may try; the conditional write lets one step through.
@@ -35,10 +32,12 @@
   private final MovePlanner planner = new MovePlanner();
   private final Map<String, Seen> seen = new HashMap<>();
   private final ControlPlane control;
+  private final RecordWriter writer;
   private final MoveLoad load;
 
-  MoveDriver(ControlPlane control, ServiceDispatchers dispatchers) {
+  MoveDriver(ControlPlane control, RecordWriter writer, ServiceDispatchers dispatchers) {
     this.control = control;
+    this.writer = writer;
     this.load = new MoveLoad(dispatchers);
   }
 
@@ -86,14 +85,8 @@
   }
 
   private void write(Row row, MoveRecord next) {
-    OperationId operation = new OperationId("move-" + UUID.randomUUID());
-    Transaction transaction =
-        new Transaction(
-            operation,
-            List.of(new Transaction.Condition(row.key(), row.version())),
-            List.of(new Transaction.Write(row.key(), Optional.of(next.toJson(row.value())))));
-    control
-        .submit(transaction)
+    writer
+        .replace(row, next.toJson(row.value()))
         .thenAccept(
             answer -> {
               if (answer.isDone()) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/OperatorParts.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/OperatorParts.java
@@ -4,8 +4,11 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.ServiceVersion;
 import org.toucanrack.internal.coordination.control.SnapshotParts;
+import org.toucanrack.internal.coordination.rollout.RolloutRecord;
 import org.toucanrack.internal.state.TrafficSplit;
+import org.toucanrack.internal.state.VersionShare;
 import org.toucanrack.platform.Row;
 
 /** Derives the parts of a snapshot that operators' records define. Thread-safe. */
@@ -21,4 +24,28 @@
   public List<TrafficSplit> splits(List<Row> moves) {
     return deployment.get().map(current -> MoveSplits.of(moves, current)).orElse(List.of());
   }
+
+  @Override
+  public List<VersionShare> versionShares(List<Row> rollouts) {
+    return deployment.get().map(current -> shares(rollouts, current)).orElse(List.of());
+  }
+
+  /** A record of an earlier declaration gives no share. */
+  private static List<VersionShare> shares(List<Row> rows, Deployment deployment) {
+    return rows.stream()
+        .map(row -> RolloutRecord.fromJson(row.value()))
+        .filter(record -> isDeclared(record, deployment))
+        .map(record -> new VersionShare(record.service(), record.version(), record.share()))
+        .toList();
+  }
+
+  private static boolean isDeclared(RolloutRecord record, Deployment deployment) {
+    return deployment.versions().stream()
+        .filter(ServiceVersion::isCandidate)
+        .anyMatch(
+            version ->
+                version.service().equals(record.service())
+                    && version.id().equals(record.version())
+                    && version.declaration() == record.declaration());
+  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/OwnedServerList.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/OwnedServerList.java
@@ -12,8 +12,10 @@
 import org.toucanrack.id.BackendServerId;
 import org.toucanrack.internal.coordination.dispatch.OwnedServer;
 import org.toucanrack.internal.coordination.dispatch.VersionRole;
+import org.toucanrack.internal.coordination.rollout.RolloutPlanner;
 import org.toucanrack.internal.state.ControlSnapshot;
 import org.toucanrack.internal.state.ResourceGrant;
+import org.toucanrack.internal.state.VersionShare;
 import org.toucanrack.internal.transport.health.BackendHealth;
 
 /** Describes the backend servers that this VM may use. Used by one thread. */
@@ -72,13 +74,27 @@
         state.load());
   }
 
-  private static VersionRole role(BackendServer server, Set<ServiceVersion> candidates) {
+  private VersionRole role(BackendServer server, Set<ServiceVersion> candidates) {
     boolean candidate =
         candidates.stream()
             .anyMatch(
                 version ->
                     version.service().equals(server.service())
                         && version.id().equals(server.version()));
-    return candidate ? VersionRole.CANDIDATE : VersionRole.CURRENT;
+    if (!candidate) {
+      return VersionRole.CURRENT;
+    }
+    return shareOf(server) <= RolloutPlanner.MAX_PROBE_SHARE
+        ? VersionRole.CANDIDATE_UNDER_PROBE
+        : VersionRole.CANDIDATE;
+  }
+
+  private double shareOf(BackendServer server) {
+    return snapshot.versionShares().stream()
+        .filter(share -> share.service().equals(server.service()))
+        .filter(share -> share.version().equals(server.version()))
+        .mapToDouble(VersionShare::share)
+        .findFirst()
+        .orElse(0);
   }
 }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/RolloutDriver.java
@@ -0,0 +1,122 @@
+package org.toucanrack.internal.serve;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.toucanrack.configuration.Deployment;
+import org.toucanrack.configuration.ServiceVersion;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.internal.coordination.rollout.RolloutPlanner;
+import org.toucanrack.internal.coordination.rollout.RolloutRecord;
+import org.toucanrack.internal.coordination.rollout.RolloutState;
+import org.toucanrack.internal.state.ControlSnapshot;
+import org.toucanrack.platform.Row;
+
+/**
+ * Carries rollouts on and records the faults that this VM or a peer has proved.
+ *
+ * <p>Invariant: a fault stays pending here until the record says that the version was taken back or
+ * declared anew, so a lost write is repeated. Only owners of backend servers of the version write
+ * its record. {@link #run} is used by the housekeeping thread; other methods are thread-safe.
+ */
+final class RolloutDriver {
+
+  static final String PREFIX = "rollout/";
+
+  private static final Logger LOGGER = System.getLogger(RolloutDriver.class.getName());
+
+  private record Seen(long rowVersion, long atNanos) {}
+
+  private record Fault(int declaration, String reason) {}
+
+  private final RolloutPlanner planner = new RolloutPlanner();
+  private final Map<String, Seen> seen = new HashMap<>();
+  private final Map<String, Fault> faults = new ConcurrentHashMap<>();
+  private final RecordWriter writer;
+  private final InstantSource wallClock;
+
+  RolloutDriver(RecordWriter writer, InstantSource wallClock) {
+    this.writer = writer;
+    this.wallClock = wallClock;
+  }
+
+  /** Remembers a fault until it is recorded. */
+  void faultSeen(ServiceVersion version, String reason) {
+    faults.put(key(version.service(), version.id()), new Fault(version.declaration(), reason));
+  }
+
+  /** Plans a step of each rollout. Call about once a second. */
+  void run(ControlSnapshot snapshot, List<Row> rows, long nowNanos) {
+    if (snapshot.configuration().isEmpty() || !snapshot.lease().permitsDispatch(nowNanos)) {
+      return;
+    }
+    Deployment deployment = snapshot.configuration().get().deployment();
+    deployment.versions().stream()
+        .filter(ServiceVersion::isCandidate)
+        .filter(version -> ownsServerOf(snapshot, version))
+        .forEach(version -> step(version, find(rows, version), nowNanos));
+  }
+
+  private static boolean ownsServerOf(ControlSnapshot snapshot, ServiceVersion version) {
+    return OwnedServerList.granted(snapshot).stream()
+        .anyMatch(
+            server ->
+                server.service().equals(version.service())
+                    && server.version().equals(version.id()));
+  }
+
+  private void step(ServiceVersion version, Optional<Row> row, long nowNanos) {
+    if (row.isEmpty()) {
+      writer.create(key(version.service(), version.id()), planner.begin(version).toJson());
+      return;
+    }
+    RolloutRecord record = RolloutRecord.fromJson(row.get().value());
+    next(version, record, seenFor(row.get(), nowNanos))
+        .ifPresent(
+            next -> {
+              LOGGER.log(
+                  Level.INFO,
+                  "[rollout] {0} of {1}: {2}",
+                  next.version(),
+                  next.service(),
+                  next.reason());
+              writer.replace(row.get(), next.toJson());
+            });
+  }
+
+  private Optional<RolloutRecord> next(
+      ServiceVersion version, RolloutRecord record, Duration seenFor) {
+    Fault fault = faults.get(key(version.service(), version.id()));
+    if (fault != null && fault.declaration() == record.declaration()) {
+      return record.state() == RolloutState.TAKEN_BACK
+          ? planner.plan(record, version, seenFor, Duration.ZERO)
+          : Optional.of(record.takenBack(fault.reason()));
+    }
+    Duration untilCarryBy = Duration.between(wallClock.instant(), version.carryBy().orElseThrow());
+    return planner.plan(record, version, seenFor, untilCarryBy);
+  }
+
+  private Duration seenFor(Row row, long nowNanos) {
+    Seen now = new Seen(row.version(), nowNanos);
+    Seen first =
+        seen.merge(
+            row.key(), now, (old, read) -> old.rowVersion() == read.rowVersion() ? old : read);
+    return Duration.ofNanos(nowNanos - first.atNanos());
+  }
+
+  private static Optional<Row> find(List<Row> rows, ServiceVersion version) {
+    String key = key(version.service(), version.id());
+    return rows.stream().filter(row -> row.key().equals(key)).findFirst();
+  }
+
+  private static String key(ServiceId service, VersionId version) {
+    return PREFIX + service + "/" + version;
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/ServiceDispatchers.java
@@ -1,11 +1,13 @@
 package org.toucanrack.internal.serve;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongPredicate;
 import java.util.stream.Collectors;
@@ -28,9 +30,13 @@
  */
 final class ServiceDispatchers {
 
+  /** Health endpoints lag, so an announced drain goes before them for this time. */
+  private static final long ANNOUNCED_DRAIN_NANOS = TimeUnit.SECONDS.toNanos(30);
+
   private final Map<ServiceId, FairSlotDispatcher> dispatchers = new ConcurrentHashMap<>();
   private final Map<BackendServerId, Long> stoppedEpochs = new HashMap<>();
   private final LongPredicate permitsDispatch;
+  private final Map<BackendServerId, Long> drainAnnouncedNanos = new HashMap<>();
   private Optional<ControlSnapshot> newest = Optional.empty();
   private Map<BackendServerId, BackendHealth> newestHealth = Map.of();
   private Set<String> newestDrained = Set.of();
@@ -66,6 +72,12 @@
     apply(nowNanos);
   }
 
+  /** Takes in that a backend server said on an answer that it is leaving. */
+  synchronized void announcedDrain(BackendServerId server, long nowNanos) {
+    drainAnnouncedNanos.put(server, nowNanos);
+    apply(nowNanos);
+  }
+
   /**
    * Stops the use of a backend server and returns whether its last request has ended. It is used
    * again when a snapshot grants it with a higher epoch.
@@ -109,6 +121,12 @@
     }
   }
 
+  private Set<String> drainedServers() {
+    Set<String> drained = new HashSet<>(newestDrained);
+    drainAnnouncedNanos.keySet().forEach(server -> drained.add(server.value()));
+    return drained;
+  }
+
   private boolean isUsable(BackendServerId server, ResourceGrant grant) {
     return grant.epoch() > stoppedEpochs.getOrDefault(server, Long.MIN_VALUE);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/Steering.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/Steering.java
@@ -10,8 +10,8 @@
 import org.toucanrack.id.VersionId;
 import org.toucanrack.internal.coordination.move.ShiftGate;
 import org.toucanrack.internal.coordination.move.ShiftWindowGate;
+import org.toucanrack.internal.coordination.rollout.FaultListener;
 import org.toucanrack.internal.coordination.rollout.RolloutSelector;
-import org.toucanrack.internal.coordination.rollout.VersionSelector;
 import org.toucanrack.internal.state.ControlSnapshot;
 
 /** Holds the shift gate and the version selector and keeps them in step. Thread-safe. */
@@ -20,19 +20,24 @@
   private static final ShiftRule BEFORE_CONFIGURATION = new ShiftRule(0.01, Duration.ofSeconds(10));
 
   private final ShiftWindowGate shifts = new ShiftWindowGate(BEFORE_CONFIGURATION);
-  private final RolloutSelector versions = new RolloutSelector();
+  private final RolloutSelector versions;
+
+  Steering(FaultListener listener) {
+    versions = new RolloutSelector(listener);
+  }
 
   ShiftGate shifts() {
     return shifts;
   }
 
-  VersionSelector versions() {
+  RolloutSelector versions() {
     return versions;
   }
 
   void update(Configuration configuration, ControlSnapshot snapshot, long nowNanos) {
     shifts.update(configuration.deployment().rules().shift());
     shifts.update(snapshot.self().failureDomain(), snapshot.splits(), nowNanos);
+    versions.declare(configuration.deployment().versions());
     versions.update(currentVersions(configuration), snapshot.versionShares());
   }
 
