Replace a peer connection that has become silent

Cause: after a partition TCP may retransmit on an old connection only minutes later, so a healed failure domain would miss the 15 s for configurations. Ruled out: closing the old connection at once; slow requests on it would end as "may have run" although their answers may still come. Change: a request that times out after 3 s without any answer makes the next one open a new connection; the old one stays open for 60 s for its answers. Seen to fail: without the replacement the new test got no answer within 5 s.

--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/OutboundPeer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/OutboundPeer.java
@@ -9,12 +9,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.toucanrack.internal.protocol.generated.PeerEnvelope;
 
 /**
@@ -26,6 +26,9 @@
  */
 final class OutboundPeer {
 
+  /** How long a replaced connection stays open for the answers to its requests. */
+  private static final long REPLACED_SECONDS = 60;
+
   private final InetSocketAddress address;
   private final PeerSettings settings;
   private final HandshakeProof proof;
@@ -38,6 +41,7 @@
   private long nextCorrelationId = 1;
   private long backoffMillis;
   private long retryAtNanos;
+  private long lastReceivedNanos;
 
   OutboundPeer(
       InetSocketAddress address, PeerSettings settings, HandshakeProof proof, EventLoop loop) {
@@ -72,7 +76,7 @@
           if (channel != null) {
             channel.close();
           }
-          failAll("the transport was closed", null);
+          failAll(call -> true, null);
         });
   }
 
@@ -119,11 +123,31 @@
 
   private void expire(PendingCall call, Duration timeout) {
     calls.remove(call.correlationId);
+    if (ready && call.channel == channel && isSilent()) {
+      replaceConnection();
+    }
     call.fail("peer " + address + " did not answer within " + timeout.toMillis() + " ms", null);
   }
 
+  private boolean isSilent() {
+    long silentNanos = System.nanoTime() - lastReceivedNanos;
+    return silentNanos >= settings.limits().maxSilence().toNanos();
+  }
+
+  /**
+   * Makes the next request open a new connection. After a partition the network may retransmit on
+   * the old one only minutes later. Its requests keep their chance of an answer.
+   */
+  private void replaceConnection() {
+    Channel old = channel;
+    channel = null;
+    ready = false;
+    loop.schedule(() -> old.close(), REPLACED_SECONDS, TimeUnit.SECONDS);
+  }
+
   private void write(PendingCall call) {
     call.written = true;
+    call.channel = channel;
     channel.writeAndFlush(
         call.request.toBuilder().setCorrelationId(call.correlationId).setAnswer(false).build());
   }
@@ -168,26 +192,28 @@
   private void authenticated() {
     ready = true;
     backoffMillis = 0;
-    List.copyOf(calls.values()).forEach(this::write);
+    lastReceivedNanos = System.nanoTime();
+    List.copyOf(calls.values()).stream().filter(call -> !call.written).forEach(this::write);
   }
 
   private void lost(Channel which, Throwable cause) {
     if (which != channel) {
+      failAll(call -> call.channel == which, cause);
       return;
     }
+    failAll(call -> call.channel == which || !call.written, cause);
     channel = null;
     ready = false;
     Duration min = settings.limits().minBackoff();
     Duration max = settings.limits().maxBackoff();
     backoffMillis = Math.min(max.toMillis(), Math.max(min.toMillis(), backoffMillis * 2));
     retryAtNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(backoffMillis);
-    failAll("the connection to " + address + " was lost", cause);
   }
 
-  private void failAll(String message, Throwable cause) {
-    List<PendingCall> failed = new ArrayList<>(calls.values());
-    calls.clear();
-    failed.forEach(call -> call.fail(message, cause));
+  private void failAll(Predicate<PendingCall> affected, Throwable cause) {
+    List<PendingCall> failed = calls.values().stream().filter(affected).toList();
+    calls.values().removeAll(failed);
+    failed.forEach(call -> call.fail("the connection to " + address + " was lost", cause));
   }
 
   /** Matches answers with requests. Answers to unknown ids are dropped. */
@@ -195,6 +221,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, PeerEnvelope answer) {
+      lastReceivedNanos = System.nanoTime();
       PendingCall call = answer.getAnswer() ? calls.remove(answer.getCorrelationId()) : null;
       if (call != null) {
         call.complete(answer);
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PeerSettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PeerSettings.java
@@ -39,6 +39,8 @@
    * @param handshakeTimeout time from the start of a connection to its authentication
    * @param minBackoff first wait after a failed connection
    * @param maxBackoff longest wait after repeated failures
+   * @param maxSilence time without any answer after which a request that timed out makes the next
+   *     one use a new connection
    */
   public record Limits(
       int maxMessageBytes,
@@ -46,7 +48,8 @@
       int maxQueuedBytes,
       Duration handshakeTimeout,
       Duration minBackoff,
-      Duration maxBackoff) {
+      Duration maxBackoff,
+      Duration maxSilence) {
 
     /** Returns the limits used in production. */
     public static Limits standard() {
@@ -56,7 +59,8 @@
           64 << 20,
           Duration.ofSeconds(2),
           Duration.ofMillis(100),
-          Duration.ofSeconds(2));
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(3));
     }
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PendingCall.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/peer/PendingCall.java
@@ -1,5 +1,6 @@
 package org.toucanrack.internal.transport.peer;
 
+import io.netty.channel.Channel;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.CompletableFuture;
 import org.toucanrack.internal.protocol.generated.PeerEnvelope;
@@ -11,6 +12,7 @@
   final PeerEnvelope request;
   final CompletableFuture<PeerEnvelope> result = new CompletableFuture<>();
   Future<?> timer;
+  Channel channel;
   boolean written;
 
   PendingCall(long correlationId, PeerEnvelope request) {
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/peer/NettyPeerTransportTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/peer/NettyPeerTransportTest.java
@@ -37,7 +37,8 @@
           1 << 20,
           Duration.ofSeconds(2),
           Duration.ofMillis(10),
-          Duration.ofMillis(50));
+          Duration.ofMillis(50),
+          Duration.ofMillis(300));
 
   private final List<NettyPeerTransport> opened = new ArrayList<>();
 
@@ -224,4 +225,23 @@
     assertFalse(longMessage.written());
     assertFalse(tooMany.written());
   }
+
+  /** Guards against connections that stay dead for minutes after a partition has healed. */
+  @Test
+  void silentConnectionIsReplaced() throws Exception {
+    NettyPeerTransport server = open("b", 2, "secret", 0);
+    server.handle(BodyCase.PROBE, (from, m) -> CompletableFuture.completedStage(probeAnswer(2)));
+    try (FreezingRelay relay = new FreezingRelay(server.listen())) {
+      NettyPeerTransport client = open("a", 7, "secret", 0);
+      String address = "127.0.0.1:" + relay.port();
+      client.request(address, probe(1), TIMEOUT).toCompletableFuture().join();
+
+      relay.freezeOpenConnections();
+      PeerCallException failure =
+          failure(client.request(address, probe(1), Duration.ofMillis(500)).toCompletableFuture());
+
+      assertTrue(failure.written());
+      assertEquals(2, requestUntilAnswered(client, address));
+    }
+  }
 }
