--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/DeploymentFiles.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/DeploymentFiles.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 
 /** Writes the declaration of the small deployment that scenarios use. */
 final class DeploymentFiles {
@@ -22,7 +24,12 @@
     return 2 * 2 * DOMAINS.size();
   }
 
-  Path write(Path directory, double requestsPerSecond) {
+  /** Backend servers of the candidate version: one in each failure domain. */
+  static int candidateServers() {
+    return DOMAINS.size();
+  }
+
+  Path write(Path directory, double requestsPerSecond, Optional<Instant> candidateCarryBy) {
     StringBuilder yaml = new StringBuilder();
     yaml.append(
         """
@@ -54,7 +61,7 @@
                 pathPrefix: /
                 idempotent: true
                 timeoutMillis: 2000
-            versions: [{name: v1}]
+            versions: [{name: v1}CANDIDATE]
           - name: orders
             retryBudgetFraction: 0.1
             maxQueueLength: 100
@@ -76,10 +83,15 @@
     for (String domain : DOMAINS) {
       for (String service : List.of("catalogue", "orders")) {
         for (int number = 1; number <= 2; number++) {
-          yaml.append(server(service, domain, number, backendPorts.get(next++)));
+          yaml.append(server(service, "v1", domain, number, backendPorts.get(next++)));
         }
       }
     }
+    if (candidateCarryBy.isPresent()) {
+      for (String domain : DOMAINS) {
+        yaml.append(server("catalogue", "v2", domain, 1, backendPorts.get(next++)));
+      }
+    }
     yaml.append("customers:\n");
     for (String customer : List.of("press", "studio", "anonymous")) {
       yaml.append(
@@ -88,16 +100,20 @@
     }
     try {
       Files.createDirectories(directory);
-      Files.writeString(directory.resolve("deployment.yaml"), yaml);
+      String candidate =
+          candidateCarryBy.map(time -> ", {name: v2, carryBy: '" + time + "'}").orElse("");
+      Files.writeString(
+          directory.resolve("deployment.yaml"), yaml.toString().replace("CANDIDATE", candidate));
       return directory;
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
-  private static String server(String service, String domain, int number, int port) {
-    return ("  - {name: %s-%s-%d, service: %s, version: v1, failureDomain: %s, host: 127.0.0.1,"
+  private static String server(
+      String service, String version, String domain, int number, int port) {
+    return ("  - {name: %s-%s-%s-%d, service: %s, version: %s, failureDomain: %s, host: 127.0.0.1,"
             + " port: %d, slots: %d, maxConnections: 350}\n")
-        .formatted(service, domain, number, service, domain, port, SLOTS);
+        .formatted(service, version, domain, number, service, version, domain, port, SLOTS);
   }
 }
--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Fleet.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Fleet.java
@@ -14,10 +14,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collector;
@@ -55,6 +57,7 @@
   private final int peersPort = freePort();
   private final int peersRelayPort = freePort();
   private final List<Integer> backendPorts = new ArrayList<>();
+  private double rate;
   private ChildProcess platform;
   private ChildProcess backends;
 
@@ -65,7 +68,8 @@
 
   /** Starts all processes, applies the deployment, and waits until every VM serves it. */
   public void start(double requestsPerSecond) {
-    for (int i = 0; i < DeploymentFiles.servers(); i++) {
+    int ports = DeploymentFiles.servers() + DeploymentFiles.candidateServers();
+    for (int i = 0; i < ports; i++) {
       backendPorts.add(freePort());
     }
     platform = standIn("platform", List.of("platform", "--listen", "127.0.0.1:" + platformPort));
@@ -88,13 +92,29 @@
     }
     PLANS.forEach(this::relayPeers);
     PLANS.forEach(plan -> startVm(plan.name()));
-    Path files =
-        new DeploymentFiles(backendPorts).write(directory.resolve("declared"), requestsPerSecond);
-    command("apply", "-f", files.toString(), "--based-on", "0").expectExit(0);
+    rate = requestsPerSecond;
+    apply(Optional.empty());
     await("every VM is ready", START_LIMIT, this::everyVmIsReady);
     await("all backend servers are owned", START_LIMIT, this::allServersOwned);
   }
 
+  /** Declares a candidate version of the catalogue that has to carry all traffic by a time. */
+  public void declareCandidate(Instant carryBy) {
+    apply(Optional.of(carryBy));
+  }
+
+  private void apply(Optional<Instant> candidateCarryBy) {
+    Path files =
+        new DeploymentFiles(backendPorts)
+            .write(directory.resolve("declared"), rate, candidateCarryBy);
+    command("apply", "-f", files.toString()).expectExit(0);
+  }
+
+  /** Returns the position of the first backend server of the candidate version. */
+  public int firstCandidate() {
+    return DeploymentFiles.servers();
+  }
+
   private static Collector<CharSequence, ?, String> commas() {
     return Collectors.joining(",");
   }
