--- a/scenarios/src/test/java/org/toucanrack/scenarios/OperatorSteps.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/OperatorSteps.java
@@ -113,16 +113,16 @@
 
   @When("two operators grant keys at the same time, based on the same version")
   public void raceOperators() {
+    Fleet fleet = world.fleet();
     List<CompletableFuture<Void>> operators = new ArrayList<>();
     for (String name : List.of("first", "second", "third")) {
-      operators.add(CompletableFuture.runAsync(() -> grant(name)));
+      operators.add(CompletableFuture.runAsync(() -> grant(fleet, name)));
     }
     operators.forEach(CompletableFuture::join);
   }
 
-  private void grant(String name) {
-    CommandResult result =
-        world.fleet().command("key", "grant", "--customer", "press", "--name", name);
+  private void grant(Fleet fleet, String name) {
+    CommandResult result = fleet.command("key", "grant", "--customer", "press", "--name", name);
     if (result.exitCode() == 0) {
       synchronized (granted) {
         granted.add(name);
--- a/scenarios/src/test/java/org/toucanrack/scenarios/World.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/World.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,41 +22,43 @@
 
   private static final Pattern SECRET = Pattern.compile("trk_[A-Za-z0-9_-]+");
 
-  private static Fleet fleet;
-  private static Caller caller;
-  private static List<CompletableFuture<Caller.Answer>> pending;
-  private static Map<String, String> keys;
+  /** Each scenario runs on one thread; scenarios run in parallel on several. */
+  private static final ThreadLocal<State> CURRENT = new ThreadLocal<>();
+
+  private static final class State {
+    private final Caller caller = new Caller();
+    private final List<CompletableFuture<Caller.Answer>> pending = new ArrayList<>();
+    private final Map<String, String> keys = new LinkedHashMap<>();
+    private final Fleet fleet = new Fleet(newDirectory());
+  }
 
   /** Starts a new deployment and grants a key to both customers. */
   void start(double requestsPerSecond) {
-    caller = new Caller();
-    pending = new ArrayList<>();
-    keys = new LinkedHashMap<>();
-    fleet = new Fleet(newDirectory());
-    fleet.start(requestsPerSecond);
+    CURRENT.set(new State());
+    fleet().start(requestsPerSecond);
     grant("press");
     grant("studio");
-    fleet.await("keys are in force", java.time.Duration.ofSeconds(15), this::everyVmKnowsTheKeys);
+    fleet().await("keys are in force", Duration.ofSeconds(15), this::everyVmKnowsTheKeys);
   }
 
   Fleet fleet() {
-    return fleet;
+    return CURRENT.get().fleet;
   }
 
   Caller caller() {
-    return caller;
+    return CURRENT.get().caller;
   }
 
   Optional<String> key(String customer) {
-    return Optional.of(keys.get(customer));
+    return Optional.of(CURRENT.get().keys.get(customer));
   }
 
   /** Sends one request without waiting. */
   CompletableFuture<Caller.Answer> send(
       String vm, String method, String path, Optional<String> key, Optional<String> ticket) {
     CompletableFuture<Caller.Answer> answer =
-        caller.send(fleet.callersAddress(vm), method, path, key, ticket);
-    pending.add(answer);
+        caller().send(fleet().callersAddress(vm), method, path, key, ticket);
+    CURRENT.get().pending.add(answer);
     return answer;
   }
 
@@ -66,21 +69,21 @@
 
   /** Waits for the answers of all requests. */
   void settle() {
-    pending.forEach(CompletableFuture::join);
+    CURRENT.get().pending.forEach(CompletableFuture::join);
   }
 
   /** Ends all processes of the scenario. */
   @After
   public void stop() {
-    if (fleet != null) {
-      fleet.close();
-      fleet = null;
+    if (CURRENT.get() != null) {
+      fleet().close();
+      CURRENT.remove();
     }
   }
 
   private void grant(String customer) {
     String output =
-        fleet
+        fleet()
             .command("key", "grant", "--customer", customer, "--name", customer + "-key")
             .expectExit(0)
             .output();
@@ -88,11 +91,11 @@
     if (!secret.find()) {
       throw new AssertionError("no secret in: " + output);
     }
-    keys.put(customer, secret.group());
+    CURRENT.get().keys.put(customer, secret.group());
   }
 
   private boolean everyVmKnowsTheKeys() {
-    return fleet.vmNames().stream()
+    return fleet().vmNames().stream()
         .allMatch(vm -> read(vm, "press").status() == 200 && read(vm, "studio").status() == 200);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/StatusReport.java
@@ -145,11 +145,10 @@
   }
 
   private static String describeRollout(JsonNode rollout) {
-    return "%s, share %s, carries the traffic by %s. %s"
+    return "%s, share %s. %s"
         .formatted(
             rollout.path("state").asText(),
             rollout.path("share").asText(),
-            rollout.path("carryBy").asText("unknown"),
             rollout.path("reason").asText());
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/OperatorRecords.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/control/OperatorRecords.java
@@ -19,6 +19,7 @@
 final class OperatorRecords {
 
   static final String DRAIN_PREFIX = "drain/";
+  private static final String DRAINED_VM_PREFIX = "drain/vm/";
   static final List<String> PREFIXES = List.of(DRAIN_PREFIX, "move/", "rollout/");
 
   private final Map<String, Listing> partial = new HashMap<>();
@@ -91,14 +92,14 @@
   /** Returns the VMs that operators drain. */
   Set<VmId> drainingVms() {
     return rows.stream()
-        .filter(row -> row.key().startsWith(DRAIN_PREFIX))
+        .filter(row -> row.key().startsWith(DRAINED_VM_PREFIX))
         .flatMap(row -> vmOf(row).stream())
         .collect(Collectors.toUnmodifiableSet());
   }
 
   private static Optional<VmId> vmOf(Row row) {
     try {
-      return Optional.of(new VmId(row.key().substring(DRAIN_PREFIX.length())));
+      return Optional.of(new VmId(row.key().substring(DRAINED_VM_PREFIX.length())));
     } catch (ToucanrackException e) {
       return Optional.empty();
     }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/RolloutState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/rollout/RolloutState.java
@@ -1,5 +1,8 @@
 package org.toucanrack.internal.coordination.rollout;
 
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Locale;
+
 /** The states of a version rollout. */
 public enum RolloutState {
   /** A small share, whose requests are packed to put a few servers under load. */
@@ -7,5 +10,11 @@
   RAMPING,
   COMPLETE,
   /** The version was rolled back and stays so until it is declared anew. */
-  TAKEN_BACK
+  TAKEN_BACK;
+
+  /** Returns the form in records and for operators, for example {@code taken back}. */
+  @JsonValue
+  public String text() {
+    return name().toLowerCase(Locale.ROOT).replace('_', ' ');
+  }
 }
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/control/ControlFailureTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/control/ControlFailureTest.java
@@ -252,7 +252,7 @@
   void recordsOfOperatorsReachMembersOfAllDomains() {
     startCalm(3);
 
-    world.store.put("drain/alpha-vm2", "{}");
+    world.store.put("drain/vm/alpha-vm2", "{}");
     world.store.put("move/m1", "{\"cap\":0.1}");
     world.runSeconds(60);
 
