--- a/bench/src/main/java/org/toucanrack/bench/capacity/CapacityCommand.java
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/CapacityCommand.java
@@ -15,6 +15,7 @@
           new LookUpSlope(),
           new ConfigurationSlope(),
           new DomainRowSlope(),
+          new ControlSlope(),
           new RestartSlope(),
           new MessageSlope(),
           new LimiterSlope(),
--- a/bench/src/main/java/org/toucanrack/bench/capacity/ConfigurationSlope.java
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/ConfigurationSlope.java
@@ -15,20 +15,22 @@
 
   @Override
   public void measure(Scale scale, Figures figures) {
+    // The first figures would otherwise include the time before the code is compiled.
+    addTo(new Figures(scale).at("warm-up", "one", 1), fleet(BASE, BASE, BASE, BASE));
     for (int services : new int[] {12, 50, 200}) {
       int size = scale.of(services);
-      measure(figures.at("configuration", "services", size), fleet(size, BASE, BASE, BASE));
+      addTo(figures.at("configuration", "services", size), fleet(size, BASE, BASE, BASE));
     }
     for (int size : new int[] {scale.of(250), scale.of(1_000), scale.of(4_000)}) {
-      measure(figures.at("configuration", "backend servers", size), fleet(BASE, size, BASE, BASE));
-      measure(figures.at("configuration", "customers", size), fleet(BASE, BASE, size, BASE));
-      measure(figures.at("configuration", "keys", size), fleet(BASE, BASE, BASE, size));
+      addTo(figures.at("configuration", "backend servers", size), fleet(BASE, size, BASE, BASE));
+      addTo(figures.at("configuration", "customers", size), fleet(BASE, BASE, size, BASE));
+      addTo(figures.at("configuration", "keys", size), fleet(BASE, BASE, BASE, size));
     }
     for (int eighths : new int[] {1, 4, 8}) {
       int size = scale.of(1_000 * eighths / 8);
       Fleet mix = fleet(scale.of(50 * eighths / 8), size, size, 2 * size);
       Figures.At at = figures.at("configuration", "target mix (customers)", size);
-      measure(at, mix);
+      addTo(at, mix);
       at.exact("gzip body", "B", gzipped(ConfigurationCodec.encode(mix.configuration())));
       at.retained("decoded", mix::configuration);
     }
@@ -38,7 +40,7 @@
     return new Fleet(DOMAINS, 1, services, servers, customers, keys);
   }
 
-  private static void measure(Figures.At at, Fleet fleet) {
+  private static void addTo(Figures.At at, Fleet fleet) {
     Configuration configuration = fleet.configuration();
     byte[] body = ConfigurationCodec.encode(configuration);
     at.exact("body", "B", body.length);
--- a/bench/src/main/java/org/toucanrack/bench/capacity/LookUpSlope.java
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/LookUpSlope.java
@@ -22,6 +22,8 @@
 
   @Override
   public void measure(Scale scale, Figures figures) {
+    // The first figures would otherwise include the time before the code is compiled.
+    measure(new Figures(scale), "warm-up", 1, new Fleet(DOMAINS, 1, 50, 50, 10, 10));
     for (int members : new int[] {16, 32, 64}) {
       Fleet fleet = new Fleet(DOMAINS, scale.of(members), 50, scale.of(1_000), 10, 10);
       measure(figures, "entry VMs", DOMAINS * scale.of(members), fleet);
--- a/bench/src/main/java/org/toucanrack/bench/capacity/RestartSlope.java
+++ b/bench/src/main/java/org/toucanrack/bench/capacity/RestartSlope.java
@@ -33,6 +33,7 @@
       Figures.At at = figures.at("restart of a member", "members", members);
       Restart restart = new Restart(fleet);
       at.exact("row generations", "count", restart.generations());
+      at.exact("row generations of a configuration change", "count", restart.configurationChange());
       DomainRow settled = restart.row;
       at.cpu("row update without change", () -> DomainRowUpdater.update(settled, restart.inputs()));
     }
@@ -41,7 +42,7 @@
   /** The row of one failure domain as its relay updates it. */
   private static final class Restart {
 
-    private final ResourceCatalog catalog;
+    private ResourceCatalog catalog;
     private final Map<Incarnation, RowMember> heard = new HashMap<>();
     private DomainRow row;
     private Set<Incarnation> lost = Set.of();
@@ -58,7 +59,7 @@
     }
 
     long generations() {
-      long before = row.generation();
+      final long before = row.generation();
       RowMember leaving = heard.values().iterator().next();
       Incarnation old = leaving.member().incarnation();
       draining = Set.of(old.vm());
@@ -81,6 +82,14 @@
       return row.generation() - before;
     }
 
+    /** Adopts a version, such as a key grant, that declares the same resources. */
+    long configurationChange() {
+      final long before = row.generation();
+      catalog = new ResourceCatalog(catalog.configurationVersion() + 1, catalog.quarantineMillis());
+      settle();
+      return row.generation() - before;
+    }
+
     private void settle() {
       for (int i = 0; i < MAX_WRITES; i++) {
         DomainRow next = DomainRowUpdater.update(row, inputs());
--- a/bench/src/test/java/org/toucanrack/bench/capacity/CapacityCommandTest.java
+++ b/bench/src/test/java/org/toucanrack/bench/capacity/CapacityCommandTest.java
@@ -28,6 +28,7 @@
           "look-up",
           "configuration",
           "domain row",
+          "control core",
           "restart of a member",
           "heartbeat",
           "message",
