--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRow.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/lease/DomainRow.java
@@ -13,10 +13,11 @@
  * thread-safe.
  *
  * <p>Invariant: two written rows of a failure domain with the same generation differ in renewal
- * counters and the operation only.
+ * counters, configuration versions and the operation only. Versions are left out, since each change
+ * of the configuration would send the rows of all failure domains to every VM.
  *
  * @param failureDomain the failure domain
- * @param generation rises with each change besides renewal counters
+ * @param generation rises with each change of members or resources
  * @param lastEpoch the highest epoch given to a resource, also to resources that are gone
  * @param configurationVersion the configuration whose resources are listed
  * @param operation the operation id of the write
@@ -63,7 +64,6 @@
 
   boolean sameButForCounters(DomainRow other) {
     return lastEpoch == other.lastEpoch
-        && configurationVersion == other.configurationVersion
         && holdings.equals(other.holdings)
         && members.keySet().equals(other.members.keySet())
         && members.values().stream()
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerShares.java
@@ -21,24 +21,18 @@
 
   static Map<CustomerId, CustomerShare> of(ControlSnapshot snapshot) {
     Map<CustomerId, CustomerShare> shares = new HashMap<>();
-    snapshot
-        .configuration()
-        .ifPresent(
-            configuration ->
-                configuration
-                    .deployment()
-                    .customers()
-                    .forEach(
-                        customer ->
-                            shares.put(
-                                customer.id(),
-                                share(customer, configuration.deployment(), snapshot))));
+    if (snapshot.configuration().isPresent()) {
+      Deployment deployment = snapshot.configuration().get().deployment();
+      List<FailureDomainId> domains = ownDomainFirst(deployment, snapshot);
+      deployment
+          .customers()
+          .forEach(customer -> shares.put(customer.id(), share(customer, domains, snapshot)));
+    }
     return shares;
   }
 
   private static CustomerShare share(
-      Customer customer, Deployment deployment, ControlSnapshot snapshot) {
-    List<FailureDomainId> domains = ownDomainFirst(deployment, snapshot);
+      Customer customer, List<FailureDomainId> domains, ControlSnapshot snapshot) {
     boolean owner = false;
     Set<Incarnation> givers = new LinkedHashSet<>();
     for (FailureDomainId domain : domains) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerTokens.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/limit/CustomerTokens.java
@@ -41,6 +41,10 @@
   private final BorrowedTokens borrowed = new BorrowedTokens();
   private final DemandEstimate demand = new DemandEstimate();
   private final Deque<Waiting> waiting = new ArrayDeque<>();
+
+  /** Lets the frequent expiry pass over customers that have nothing to expire. */
+  private volatile boolean needsExpiry;
+
   private final Borrower borrower;
   private CustomerShare share;
   private EscrowAccount account;
@@ -89,6 +93,9 @@
   }
 
   void expire(long nowNanos) {
+    if (!needsExpiry) {
+      return;
+    }
     locked(
         actions -> {
           borrower.expire(nowNanos);
@@ -229,6 +236,7 @@
     lock.lock();
     try {
       result = work.apply(actions);
+      needsExpiry = !waiting.isEmpty() || borrower.hasOutstandingCalls();
     } finally {
       lock.unlock();
     }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/EntryVm.java
@@ -61,6 +61,7 @@
   private final RolloutDriver rollouts;
   private final TrafficServer traffic;
   private final Housekeeping housekeeping;
+  private final SnapshotChanges changes = new SnapshotChanges();
 
   /** Wires all parts; nothing runs before {@link #start}. */
   EntryVm(ServeSettings settings) {
@@ -172,13 +173,20 @@
         : currentSnapshot().configuration().map(Configuration::deployment);
   }
 
+  /** Runs on the control thread for each snapshot, several times a second. */
   private void adopt(ControlSnapshot snapshot) {
     long now = System.nanoTime();
-    dispatchers.update(snapshot, drainedServers(), now);
-    rateLimiter.update(snapshot, now);
+    if (changes.resourcesChanged(snapshot)) {
+      rateLimiter.update(snapshot, now);
+    }
+    Set<String> drained = drainedServers();
+    if (changes.dispatchChanged(snapshot, drained)) {
+      dispatchers.update(snapshot, drained, now);
+    }
     snapshot
         .configuration()
         .ifPresent(configuration -> steering.update(configuration, snapshot, now));
+    changes.adopted(snapshot, drained);
   }
 
   private Set<String> drainedServers() {
