--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Fleet.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/Fleet.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -52,10 +51,10 @@
   private final Map<String, Integer> callersPorts = new LinkedHashMap<>();
   private final Map<String, Integer> operatorsPorts = new LinkedHashMap<>();
   private final Path directory;
-  private final int platformPort = freePort();
-  private final int relayPort = freePort();
-  private final int peersPort = freePort();
-  private final int peersRelayPort = freePort();
+  private final int platformPort = Ports.next();
+  private final int relayPort = Ports.next();
+  private final int peersPort = Ports.next();
+  private final int peersRelayPort = Ports.next();
   private final List<Integer> backendPorts = new ArrayList<>();
   private double rate;
   private ChildProcess platform;
@@ -70,7 +69,7 @@
   public void start(double requestsPerSecond) {
     int ports = DeploymentFiles.servers() + DeploymentFiles.candidateServers();
     for (int i = 0; i < ports; i++) {
-      backendPorts.add(freePort());
+      backendPorts.add(Ports.next());
     }
     platform = standIn("platform", List.of("platform", "--listen", "127.0.0.1:" + platformPort));
     backends =
@@ -130,8 +129,8 @@
   /** Starts a VM, or a new incarnation of one that has ended. */
   public void startVm(String name) {
     VmPlan plan = plan(name);
-    callersPorts.putIfAbsent(name, freePort());
-    operatorsPorts.putIfAbsent(name, freePort());
+    callersPorts.putIfAbsent(name, Ports.next());
+    operatorsPorts.putIfAbsent(name, Ports.next());
     String domain = DeploymentFiles.DOMAINS.get(plan.domain() - 1);
     List<String> arguments =
         List.of(
@@ -351,12 +350,4 @@
   private static String ip(VmPlan plan) {
     return "127.0." + plan.domain() + "." + plan.number();
   }
-
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
 }
