--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ColdGuard.java
@@ -0,0 +1,93 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.util.List;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.VmId;
+import org.toucanrack.steering.ServiceRule;
+
+/**
+ * Decides whether this VM may send to a cold server, so that all VMs together stay below what it
+ * bears.
+ *
+ * <p>One VM, the owner, sends to a cold server; all VMs compute the same one from the members they
+ * hear, of the server's own region if there are any. VMs that are not heard may believe that they
+ * are the owner too, so the bound is divided by their number. Stateless apart from its settings;
+ * thread-safe.
+ */
+public final class ColdGuard {
+
+  /** Part of a cold server's rate that one owner uses. */
+  private static final double OWNER_RATE = 0.8;
+
+  private final VmId self;
+  private final RegionId region;
+  private final double overshoot;
+  private final double reserve;
+
+  /**
+   * Creates a guard.
+   *
+   * @param overshoot factor on the rate that a cold server bears within a second
+   * @param reserve requests beyond the factor
+   */
+  public ColdGuard(VmId self, RegionId region, double overshoot, double reserve) {
+    this.self = self;
+    this.region = region;
+    this.overshoot = overshoot;
+    this.reserve = reserve;
+  }
+
+  /** Returns whether one more request may be sent to the server now. */
+  public boolean allows(ServerState server, ServiceRule rule, Peers peers, long nowNanos) {
+    if (!isOwner(server, peers)) {
+      return false;
+    }
+    double bound = rule.coldRequestsPerSecond() * overshoot + reserve;
+    int owners = 1 + peers.unheard();
+    int most =
+        (int) Math.min(rule.coldRequestsPerSecond() * OWNER_RATE, Math.floor((bound - 1) / owners));
+    return server.coldSends(nowNanos) < most;
+  }
+
+  private boolean isOwner(ServerState server, Peers peers) {
+    boolean local =
+        region.equals(server.region())
+            || peers.heard().stream().anyMatch(peer -> peer.region().equals(server.region()));
+    if (local && !region.equals(server.region())) {
+      return false;
+    }
+    long mine = Spread.score(Spread.hash(self.value()), server.hash());
+    for (Peer peer : peers.heard()) {
+      boolean competes = !local || peer.region().equals(server.region());
+      if (competes && Spread.score(Spread.hash(peer.vm().value()), server.hash()) > mine) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Another VM.
+   *
+   * @param vm its name
+   * @param region where it stands
+   */
+  public record Peer(VmId vm, RegionId region) {}
+
+  /**
+   * The other VMs.
+   *
+   * @param heard VMs that are heard now, without this one
+   * @param unheard number of VMs that may run but are not heard
+   */
+  public record Peers(List<Peer> heard, int unheard) {
+
+    /** No other VM is known. */
+    public static final Peers NONE = new Peers(List.of(), 0);
+
+    /** Copies the list. */
+    public Peers {
+      heard = List.copyOf(heard);
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -0,0 +1,135 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.steering.CustomerRule;
+
+/**
+ * The part of each customer's rate that this VM may use.
+ *
+ * <p>Each VM claims a share of the rate and tells it to the others. A share follows the demand, but
+ * is raised only into what the shares that the others last told leave free. So the sum stays at
+ * most 1 while messages are lost or VMs are cut off; a share of a VM that is not heard is kept free
+ * for it, and a VM that hears nobody lowers its own share. Not thread-safe.
+ */
+public final class RateShares {
+
+  /** Part of the rate that is used; the rest covers shares that change hands. */
+  private static final double USED_RATE = 0.97;
+
+  /** Share of a VM that has heard no other one since its start. */
+  private static final double FIRST_SHARE = 0.05;
+
+  /** Demand that each VM counts as having, so that a first request is not refused. */
+  private static final double BASE_DEMAND = 0.3;
+
+  /** Memory of the demand. */
+  private static final double DEMAND_MEMORY_SECONDS = 1.0;
+
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  private final Map<CustomerId, Account> accounts = new HashMap<>();
+
+  /**
+   * What a VM told of one customer.
+   *
+   * @param share the part of the rate that it uses
+   * @param demand requests a second that it is asked for
+   */
+  public record Claim(double share, double demand) {}
+
+  /** The outcome of asking for one request. */
+  public record Decision(boolean admitted, Duration retryAfter, double share) {}
+
+  private static final class Account {
+    private double share = FIRST_SHARE;
+    private double tokens;
+    private double demand;
+    private long refilledNanos;
+    private boolean started;
+  }
+
+  /** Asks for one request of a customer. */
+  public Decision admit(CustomerRule customer, long nowNanos) {
+    Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
+    refill(account, customer, nowNanos);
+    account.demand += 1 / DEMAND_MEMORY_SECONDS;
+    if (!customer.isLimited()) {
+      return new Decision(true, Duration.ZERO, account.share);
+    }
+    if (account.tokens >= 1) {
+      account.tokens -= 1;
+      return new Decision(true, Duration.ZERO, account.share);
+    }
+    double perSecond = Math.max(0.1, account.share * customer.requestsPerSecond());
+    long millis = (long) Math.min(2000, 50 + 1000 * (1 - account.tokens) / perSecond);
+    return new Decision(false, Duration.ofMillis(millis), account.share);
+  }
+
+  /** Returns one admitted request, which turned out not to run. */
+  public void giveBack(CustomerRule customer) {
+    Account account = accounts.get(customer.id());
+    if (account != null && customer.isLimited()) {
+      account.tokens = Math.min(capacity(account, customer), account.tokens + 1);
+    }
+  }
+
+  /**
+   * Adapts the share to what the other VMs told last.
+   *
+   * @param others the claims of all other VMs that may run
+   * @param floor share that is kept if nothing is free
+   */
+  public void rebalance(
+      CustomerRule customer, Collection<Claim> others, boolean isolated, long nowNanos) {
+    Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
+    refill(account, customer, nowNanos);
+    double claimed = 0;
+    double demand = account.demand + BASE_DEMAND;
+    double total = demand;
+    for (Claim other : others) {
+      claimed += other.share();
+      total += other.demand() + BASE_DEMAND;
+    }
+    double target = demand / total;
+    if (isolated) {
+      account.share = Math.min(account.share, isolatedShare(others.size() + 1));
+    } else {
+      account.share = Math.max(0, Math.min(target, 1 - claimed));
+    }
+    account.tokens = Math.min(account.tokens, capacity(account, customer));
+  }
+
+  /** Returns the share that a VM keeps which hears no other one, and that is kept free for it. */
+  public static double isolatedShare(int vms) {
+    return 1.0 / (2 * vms);
+  }
+
+  /** Returns what this VM tells the others of a customer. */
+  public Claim claim(CustomerId customer) {
+    Account account = accounts.get(customer);
+    return account == null ? new Claim(FIRST_SHARE, 0) : new Claim(account.share, account.demand);
+  }
+
+  private static double capacity(Account account, CustomerRule customer) {
+    return Math.max(1, account.share * customer.burst());
+  }
+
+  private static void refill(Account account, CustomerRule customer, long nowNanos) {
+    if (!account.started) {
+      account.started = true;
+      account.refilledNanos = nowNanos;
+      account.tokens = capacity(account, customer);
+      return;
+    }
+    double seconds = Math.max(0, nowNanos - account.refilledNanos) / NANOS_PER_SECOND;
+    account.refilledNanos = nowNanos;
+    account.demand *= Math.exp(-seconds / DEMAND_MEMORY_SECONDS);
+    double rate = account.share * customer.requestsPerSecond() * USED_RATE;
+    account.tokens = Math.min(capacity(account, customer), account.tokens + seconds * rate);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RegionSpill.java
@@ -0,0 +1,62 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The share of a service's requests that this VM sends to other regions.
+ *
+ * <p>The share follows the pressure on the servers of the own region, and changes slowly, so that
+ * the requests of a region do not change their place faster than allowed. Not thread-safe.
+ */
+public final class RegionSpill {
+
+  /** The part of the allowed change that is used; the rest is left to chance in small numbers. */
+  private static final double USED_CHANGE = 0.6;
+
+  private static final double WINDOW_SECONDS = 2;
+  private static final double HIGH_PRESSURE = 0.85;
+  private static final double LOW_PRESSURE = 0.6;
+
+  private final double changePerSecond;
+  private double share;
+  private double debt;
+  private long updatedNanos;
+  private boolean started;
+
+  /** Creates a share of 0 that may change by {@code maxShift} within two seconds. */
+  public RegionSpill(double maxShift) {
+    this.changePerSecond = USED_CHANGE * maxShift / WINDOW_SECONDS;
+  }
+
+  /** Adapts the share to the load of the own region's servers divided by their slots. */
+  public void update(double pressure, long nowNanos) {
+    if (!started) {
+      started = true;
+      updatedNanos = nowNanos;
+      return;
+    }
+    double seconds = (nowNanos - updatedNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+    updatedNanos = nowNanos;
+    double step = Math.min(seconds, 1) * changePerSecond;
+    if (pressure > HIGH_PRESSURE) {
+      share = Math.min(1, share + step);
+    } else if (pressure < LOW_PRESSURE) {
+      share = Math.max(0, share - step);
+    }
+  }
+
+  /** Returns whether the next request leaves the region. */
+  public boolean nextLeaves() {
+    debt += share;
+    if (debt >= 1) {
+      debt -= 1;
+      return true;
+    }
+    return false;
+  }
+
+  /** Returns the share of requests that leave the region. */
+  public double share() {
+    return share;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RetryAllowance.java
@@ -0,0 +1,53 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.time.Duration;
+
+/**
+ * Bounds the extra attempts of one service on this VM, so that those of all VMs together stay
+ * within the shared budget.
+ *
+ * <p>Each VM uses its own requests as the base and an equal part of the reserve. Invariant: extra
+ * attempts within a window never exceed {@code ratio x requests + reserve part}. Not thread-safe.
+ */
+public final class RetryAllowance {
+
+  /** Part of the allowed ratio that is used; the rest covers windows that are cut differently. */
+  private static final double USED_RATIO = 0.8;
+
+  private final SlidingCount requests;
+  private final SlidingCount extras;
+  private final double ratio;
+  private final double reserve;
+
+  /**
+   * Creates an allowance.
+   *
+   * @param ratio extra attempts per request over all VMs
+   * @param reserve extra attempts of a window beyond the ratio, over all VMs
+   */
+  public RetryAllowance(double ratio, double reserve, Duration window) {
+    this.ratio = ratio * USED_RATIO;
+    this.reserve = reserve;
+    requests = new SlidingCount(window.toNanos());
+    extras = new SlidingCount(window.toNanos());
+  }
+
+  /** Counts a request. */
+  public void request(long nowNanos) {
+    requests.add(nowNanos);
+  }
+
+  /**
+   * Takes an extra attempt if there is one.
+   *
+   * @param vms the number of VMs that share the reserve
+   */
+  public boolean tryExtra(long nowNanos, int vms) {
+    double allowed = ratio * requests.count(nowNanos) + Math.floor(reserve / Math.max(1, vms));
+    if (extras.count(nowNanos) + 1 > allowed) {
+      return false;
+    }
+    extras.add(nowNanos);
+    return true;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
@@ -0,0 +1,137 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.steering.RolloutOrder;
+import org.toucanrack.steering.RolloutOutcome.Phase;
+
+/**
+ * The course of one rollout as this VM sees it.
+ *
+ * <p>The version on trial first gets a small share. Only near the end of the ordered time, when
+ * faults had the time to show, it gets all requests; then the rollout is complete. At any time a
+ * fault ends it. Invariant: a plan that was reverted never gives the version a share again. Not
+ * thread-safe.
+ */
+public final class RolloutPlan {
+
+  /** Part of the allowed share that a version on trial gets. */
+  private static final double USED_SHARE = 0.75;
+
+  /** Time before the ordered end at which all requests move; in-flight ones end meanwhile. */
+  private static final long MOVE_BEFORE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(4500);
+
+  /** Time before the ordered end at which the rollout is declared complete. */
+  private static final long COMPLETE_BEFORE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
+
+  /** How long a third of the requests is tried before all of them. */
+  private static final long FIRST_STEP_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private static final double FIRST_STEP_SHARE = 0.33;
+
+  /** A trial lasts at least this part of the ordered time. */
+  private static final double MIN_TRIAL_PART = 0.4;
+
+  /** Window in which a fault that shows late is looked for. */
+  private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private final RolloutOrder order;
+  private final double trialShare;
+  private final ArrayDeque<Sample> samples = new ArrayDeque<>();
+  private long startedNanos;
+  private Phase phase = Phase.RUNNING;
+
+  private record Sample(long nanos, Map<String, TrialEvidence> byRoute) {}
+
+  /** Starts the plan of an order that was first seen at {@code nowNanos}. */
+  public RolloutPlan(RolloutOrder order, double allowedShare, long nowNanos) {
+    this.order = order;
+    this.trialShare = USED_SHARE * allowedShare;
+    this.startedNanos = nowNanos;
+  }
+
+  /** Returns the order. */
+  public RolloutOrder order() {
+    return order;
+  }
+
+  /** Returns the phase. */
+  public Phase phase() {
+    return phase;
+  }
+
+  /** Returns how long the rollout runs. */
+  public long elapsedNanos(long nowNanos) {
+    return nowNanos - startedNanos;
+  }
+
+  /** Learns from another VM that the rollout runs for longer than this one knew. */
+  public void elapsed(long nanos, long nowNanos) {
+    startedNanos = Math.min(startedNanos, nowNanos - nanos);
+  }
+
+  /** Learns the reported phase, or what another VM concluded. */
+  public void learn(Phase reported) {
+    if (phase == Phase.RUNNING) {
+      phase = reported;
+    }
+  }
+
+  /** Returns the share of requests that the version gets. */
+  public VersionTrial trial(long nowNanos) {
+    double share =
+        switch (phase) {
+          case REVERTED -> 0;
+          case COMPLETED -> 1;
+          case RUNNING -> runningShare(nowNanos);
+        };
+    return new VersionTrial(order.to(), share);
+  }
+
+  private double runningShare(long nowNanos) {
+    long sinceMove = elapsedNanos(nowNanos) - moveAtNanos();
+    if (sinceMove < 0) {
+      return trialShare;
+    }
+    return sinceMove < FIRST_STEP_NANOS ? FIRST_STEP_SHARE : 1;
+  }
+
+  private long moveAtNanos() {
+    long within = order.within().toNanos();
+    return Math.max((long) (MIN_TRIAL_PART * within), within - MOVE_BEFORE_END_NANOS);
+  }
+
+  private long completeAtNanos() {
+    long settled = moveAtNanos() + 2 * FIRST_STEP_NANOS;
+    return Math.max(settled, order.within().toNanos() - COMPLETE_BEFORE_END_NANOS);
+  }
+
+  /**
+   * Judges the evidence of all VMs, by route.
+   *
+   * @return the phase after this
+   */
+  public Phase judge(Map<String, TrialEvidence> byRoute, long nowNanos) {
+    if (phase != Phase.RUNNING) {
+      return phase;
+    }
+    samples.addLast(new Sample(nowNanos, new HashMap<>(byRoute)));
+    while (samples.size() > 1 && nowNanos - samples.peekFirst().nanos() > RECENT_NANOS) {
+      samples.pollFirst();
+    }
+    Map<String, TrialEvidence> before = samples.peekFirst().byRoute();
+    for (Map.Entry<String, TrialEvidence> entry : byRoute.entrySet()) {
+      TrialEvidence earlier = before.getOrDefault(entry.getKey(), TrialEvidence.NONE);
+      if (entry.getValue().showsFault() || entry.getValue().since(earlier).showsFault()) {
+        phase = Phase.REVERTED;
+        return phase;
+      }
+    }
+    if (elapsedNanos(nowNanos) >= completeAtNanos()) {
+      phase = Phase.COMPLETED;
+    }
+    return phase;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
@@ -0,0 +1,230 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.steering.AnnouncedServer;
+import org.toucanrack.steering.ServiceRule;
+
+/**
+ * Chooses the backend server of an attempt.
+ *
+ * <p>Requests about one object go to the same server while it has room, since a server that handled
+ * the object lately is several times faster: rendezvous hashing with bounded loads, within the own
+ * region first. Not thread-safe.
+ */
+public final class ServerChooser {
+
+  /** Servers with more faults than this are used only if no other one has room. */
+  private static final double FAULTY = 0.25;
+
+  /** A server this many times slower than the others is used only if no other one has room. */
+  private static final double SLOW_FACTOR = 2.5;
+
+  /** Share of requests that may leave the region at once when no server of it has room. */
+  private static final double FALLBACK_SHARE = 0.04;
+
+  /** Longest normal time without any answer, as a multiple of the objective. */
+  private static final int SILENCE_FACTOR = 3;
+
+  private static final long MIN_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long FALLBACK_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Requests that may wait at a server beyond its slots, as a part of its slots, by priority. */
+  private static final double[] WAITING_BY_PRIORITY = {1.0, 0.7, 0.4};
+
+  private final ServerTable table;
+  private final ColdGuard coldGuard;
+  private final RegionId region;
+  private final double maxRegionShift;
+  private final Map<ServiceId, RegionSpill> spills = new HashMap<>();
+  private final Map<ServiceId, Double> trialDebts = new HashMap<>();
+  private final SlidingCount requests = new SlidingCount(FALLBACK_WINDOW_NANOS);
+  private final SlidingCount fallbacks = new SlidingCount(FALLBACK_WINDOW_NANOS);
+
+  /** Creates a chooser for a VM in {@code region}. */
+  public ServerChooser(
+      ServerTable table, ColdGuard coldGuard, RegionId region, double maxRegionShift) {
+    this.table = table;
+    this.coldGuard = coldGuard;
+    this.region = region;
+    this.maxRegionShift = maxRegionShift;
+  }
+
+  /**
+   * An attempt that needs a server.
+   *
+   * @param service the service
+   * @param rule what holds for its servers
+   * @param object names what the request is about; empty if it names nothing
+   * @param homes regions that may run it; empty for all
+   * @param tried servers that have had it before
+   * @param objectiveNanos the latency that is aimed at
+   * @param priority 0 is the most urgent
+   */
+  public record Attempt(
+      ServiceId service,
+      ServiceRule rule,
+      String object,
+      Set<RegionId> homes,
+      Set<BackendServerId> tried,
+      long objectiveNanos,
+      int priority) {}
+
+  /** What came of a choice. */
+  public sealed interface Choice {
+
+    /** The attempt goes to this server. */
+    record Use(ServerState server, String reason) implements Choice {}
+
+    /** No server can take it now. */
+    record None(String reason) implements Choice {}
+  }
+
+  /** Chooses a server. */
+  public Choice choose(
+      Attempt attempt, Map<ServiceId, VersionTrial> trials, ColdGuard.Peers peers, long nowNanos) {
+    requests.add(nowNanos);
+    List<ServerState> allowed = allowed(attempt, peers, nowNanos);
+    VersionTrial trial = trials.get(attempt.service());
+    if (trial == null) {
+      return chooseRegion(attempt, allowed, nowNanos);
+    }
+    boolean onTrial = nextOnTrial(attempt.service(), trial.share());
+    Choice choice = chooseRegion(attempt, ofVersion(allowed, trial, onTrial), nowNanos);
+    if (choice instanceof Choice.Use || trial.share() == 0 || trial.share() == 1) {
+      return choice;
+    }
+    return onTrial ? chooseRegion(attempt, ofVersion(allowed, trial, false), nowNanos) : choice;
+  }
+
+  private boolean nextOnTrial(ServiceId service, double share) {
+    double debt = trialDebts.getOrDefault(service, 0.0) + share;
+    boolean onTrial = debt >= 1;
+    trialDebts.put(service, onTrial ? debt - 1 : debt);
+    return onTrial;
+  }
+
+  private static List<ServerState> ofVersion(
+      List<ServerState> servers, VersionTrial trial, boolean onTrial) {
+    VersionId to = trial.to();
+    return servers.stream()
+        .filter(server -> server.announced().version().equals(to) == onTrial)
+        .toList();
+  }
+
+  private List<ServerState> allowed(Attempt attempt, ColdGuard.Peers peers, long nowNanos) {
+    long silence = Math.max(MIN_SILENCE_NANOS, SILENCE_FACTOR * attempt.objectiveNanos());
+    List<ServerState> allowed = new ArrayList<>();
+    for (ServerState server : table.usable(attempt.service())) {
+      boolean usable =
+          !attempt.tried().contains(server.announced().id())
+              && (attempt.homes().isEmpty() || attempt.homes().contains(server.region()))
+              && !server.isPaused(nowNanos)
+              && !server.isSilent(nowNanos, silence)
+              && (!server.isCold(nowNanos)
+                  || coldGuard.allows(server, attempt.rule(), peers, nowNanos));
+      if (usable) {
+        allowed.add(server);
+      }
+    }
+    return allowed;
+  }
+
+  private Choice chooseRegion(Attempt attempt, List<ServerState> allowed, long nowNanos) {
+    if (allowed.isEmpty()) {
+      return new Choice.None("no-server");
+    }
+    List<ServerState> own = new ArrayList<>();
+    List<ServerState> others = new ArrayList<>();
+    allowed.forEach(server -> (server.region().equals(region) ? own : others).add(server));
+    if (own.isEmpty()) {
+      return pick(attempt, others, "other-region", nowNanos);
+    }
+    if (others.isEmpty()) {
+      return pick(attempt, own, "own-region", nowNanos);
+    }
+    RegionSpill spill =
+        spills.computeIfAbsent(attempt.service(), id -> new RegionSpill(maxRegionShift));
+    spill.update(pressure(own, nowNanos), nowNanos);
+    if (spill.nextLeaves()) {
+      Choice choice = pick(attempt, others, "spill", nowNanos);
+      return choice instanceof Choice.Use ? choice : pick(attempt, own, "own-region", nowNanos);
+    }
+    Choice choice = pick(attempt, own, "own-region", nowNanos);
+    if (choice instanceof Choice.None && mayFallBack(attempt, nowNanos)) {
+      fallbacks.add(nowNanos);
+      return pick(attempt, others, "fallback", nowNanos);
+    }
+    return choice;
+  }
+
+  private boolean mayFallBack(Attempt attempt, long nowNanos) {
+    return !attempt.tried().isEmpty()
+        || fallbacks.count(nowNanos) < 1 + FALLBACK_SHARE * requests.count(nowNanos);
+  }
+
+  private static double pressure(List<ServerState> servers, long nowNanos) {
+    double load = 0;
+    double slots = 0;
+    for (ServerState server : servers) {
+      load += server.load(nowNanos);
+      slots += server.announced().slots();
+    }
+    return load / Math.max(1, slots);
+  }
+
+  private Choice pick(Attempt attempt, List<ServerState> servers, String reason, long nowNanos) {
+    long object = Spread.hash(attempt.object());
+    List<ServerState> ranked = new ArrayList<>(servers);
+    ranked.sort(
+        Comparator.comparingLong((ServerState server) -> Spread.score(object, server.hash()))
+            .reversed());
+    double usualService = usualServiceNanos(ranked);
+    for (ServerState server : ranked) {
+      boolean healthy =
+          server.faultRate() < FAULTY
+              && (usualService == 0 || server.serviceNanos() < SLOW_FACTOR * usualService);
+      if (healthy && server.load(nowNanos) < server.announced().slots()) {
+        return new Choice.Use(server, reason);
+      }
+    }
+    return leastLoaded(attempt, ranked, reason, nowNanos);
+  }
+
+  private static double usualServiceNanos(List<ServerState> servers) {
+    double[] known =
+        servers.stream()
+            .mapToDouble(ServerState::serviceNanos)
+            .filter(t -> t > 0)
+            .sorted()
+            .toArray();
+    return known.length == 0 ? 0 : known[(known.length - 1) / 2];
+  }
+
+  private Choice leastLoaded(
+      Attempt attempt, List<ServerState> servers, String reason, long nowNanos) {
+    int priority = Math.min(Math.max(0, attempt.priority()), WAITING_BY_PRIORITY.length - 1);
+    double most = 1 + WAITING_BY_PRIORITY[priority];
+    ServerState best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (ServerState server : servers) {
+      AnnouncedServer announced = server.announced();
+      double fill = server.load(nowNanos) / announced.slots();
+      double cost = (1 + fill) * (1 + 3 * server.faultRate()) * Math.max(1, server.serviceNanos());
+      if (fill < most && cost < bestCost) {
+        best = server;
+        bestCost = cost;
+      }
+    }
+    return best == null ? new Choice.None("full") : new Choice.Use(best, reason + "-waiting");
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerTable.java
@@ -0,0 +1,118 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.steering.AnnouncedServer;
+
+/**
+ * The backend servers that may be used, with what is known about each run of them.
+ *
+ * <p>Invariant: draining, evacuated and removed servers are not in the lists of {@link #usable}.
+ * Not thread-safe.
+ */
+public final class ServerTable {
+
+  /**
+   * Added to what a server says of its cold time, since announcements are up to a heartbeat old.
+   */
+  private static final Duration COLD_MARGIN = Duration.ofMillis(500);
+
+  private final Map<FailureDomainId, RegionId> regions;
+  private final Map<BackendServerId, ServerState> states = new HashMap<>();
+  private final Map<ServiceId, List<ServerState>> usable = new HashMap<>();
+  private final Set<FailureDomainId> wasEvacuated = new HashSet<>();
+  private final Map<ServiceId, Set<VersionId>> establishedVersions = new HashMap<>();
+
+  /** Creates an empty table. */
+  public ServerTable(Map<FailureDomainId, RegionId> regions) {
+    this.regions = regions;
+  }
+
+  /** Takes over the newest facts. */
+  public void update(FleetFacts facts, RuleIndex rules, long nowNanos) {
+    usable.clear();
+    Map<BackendServerId, ServerState> kept = new HashMap<>();
+    for (AnnouncedServer server : facts.servers()) {
+      RegionId region = regions.get(server.failureDomain());
+      if (region == null) {
+        continue;
+      }
+      ServerState state = stateOf(server, region, nowNanos);
+      kept.put(server.id(), state);
+      boolean evacuated = facts.evacuated().contains(server.failureDomain());
+      if (wasEvacuated.contains(server.failureDomain()) && !evacuated) {
+        // Servers of an evacuated domain may have been restarted meanwhile.
+        Duration cold =
+            rules.service(server.service()).map(rule -> rule.coldPeriod()).orElse(Duration.ZERO);
+        state.coldUntil(nowNanos + cold.plus(COLD_MARGIN).toNanos());
+      }
+      if (!server.draining() && !evacuated) {
+        usable.computeIfAbsent(server.service(), id -> new ArrayList<>()).add(state);
+      }
+    }
+    wasEvacuated.clear();
+    wasEvacuated.addAll(facts.evacuated());
+    states.clear();
+    states.putAll(kept);
+    holdBackUnorderedVersions(facts);
+  }
+
+  /** Returns the servers of a service that may get requests, of all versions. */
+  public List<ServerState> usable(ServiceId service) {
+    return usable.getOrDefault(service, List.of());
+  }
+
+  private ServerState stateOf(AnnouncedServer server, RegionId region, long nowNanos) {
+    ServerState known = states.get(server.id());
+    boolean sameRun =
+        known != null
+            && known.announced().startedAtMillis() == server.startedAtMillis()
+            && known.announced().address().equals(server.address());
+    if (!sameRun) {
+      ServerState fresh = new ServerState(server, region, nowNanos);
+      fresh.announce(server, nowNanos, COLD_MARGIN);
+      return fresh;
+    }
+    if (!known.announced().equals(server)) {
+      known.announce(server, nowNanos, COLD_MARGIN);
+    }
+    return known;
+  }
+
+  /** Servers of a new version announce themselves a moment before the order that allows its use. */
+  private void holdBackUnorderedVersions(FleetFacts facts) {
+    for (Map.Entry<ServiceId, List<ServerState>> entry : usable.entrySet()) {
+      Set<VersionId> established =
+          establishedVersions.computeIfAbsent(entry.getKey(), id -> new HashSet<>());
+      VersionTrial trial = facts.trials().get(entry.getKey());
+      Set<VersionId> present = new HashSet<>();
+      entry.getValue().forEach(state -> present.add(state.announced().version()));
+      established.retainAll(present);
+      if (trial != null && trial.share() == 1) {
+        established.add(trial.to());
+      }
+      if (established.isEmpty()) {
+        established.addAll(present);
+        if (trial != null && present.size() > 1) {
+          established.remove(trial.to());
+        }
+      }
+      entry
+          .getValue()
+          .removeIf(
+              state ->
+                  !established.contains(state.announced().version())
+                      && (trial == null || !trial.to().equals(state.announced().version())));
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServiceSplit.java
@@ -0,0 +1,44 @@
+package org.toucanrack.internal.coordination.steer;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.steering.WeightedService;
+
+/**
+ * Distributes the requests of a route over its services by smooth weighted round robin, so that
+ * each service has its share of any run of requests to within one request. Not thread-safe.
+ */
+public final class ServiceSplit {
+
+  private final Map<ServiceId, Double> credit = new HashMap<>();
+  private List<WeightedService> current = List.of();
+
+  /** Returns the service of the next request. */
+  public ServiceId next(List<WeightedService> destinations) {
+    if (destinations.size() == 1) {
+      return destinations.get(0).service();
+    }
+    if (!destinations.equals(current)) {
+      credit.clear();
+      current = destinations;
+    }
+    double total = 0;
+    WeightedService best = null;
+    double bestCredit = 0;
+    for (WeightedService destination : destinations) {
+      total += destination.weight();
+      double mine = credit.merge(destination.service(), destination.weight(), Double::sum);
+      if (destination.weight() > 0 && (best == null || mine > bestCredit)) {
+        best = destination;
+        bestCredit = mine;
+      }
+    }
+    if (best == null) {
+      return destinations.get(0).service();
+    }
+    credit.merge(best.service(), -total, Double::sum);
+    return best.service();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/observe/DecisionLog.java
@@ -0,0 +1,170 @@
+package org.toucanrack.internal.observe;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one line of JSON for each decision.
+ *
+ * <pre>{@code
+ * log.event("store-lost", "reason", "connect: refused");
+ * }</pre>
+ *
+ * <p>Invariants: a caller never waits; lines beyond the ceiling of a second, and lines that find
+ * the queue full, are dropped and counted, and the count is logged. Thread-safe.
+ */
+public final class DecisionLog implements AutoCloseable {
+
+  /** Lines about requests per second; decisions of the control thread are not limited. */
+  public static final int MAX_REQUEST_LINES_PER_SECOND = 40;
+
+  /** One in this many successful requests is logged; the same ones on all VMs. */
+  private static final int SUCCESS_SAMPLE = 32;
+
+  private static final int QUEUE_LINES = 2048;
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  private final String vm;
+  private final OutputStream output;
+  private final JsonFactory json = new JsonFactory();
+  private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final Thread writer;
+  private long second;
+  private int linesThisSecond;
+
+  /** Starts a log of the named VM. */
+  public DecisionLog(String vm, OutputStream output) {
+    this.vm = vm;
+    this.output = output;
+    this.writer = new Thread(this::writeLines, "decision-log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /** Logs something that changes what this VM does or believes: names and values by turns. */
+  public void event(String event, Object... fields) {
+    offer(line(event, fields));
+  }
+
+  /** Logs a decision about a request, unless too many were logged in this second. */
+  public void request(String event, String requestId, Object... fields) {
+    if (mayLogRequest()) {
+      Object[] all = new Object[fields.length + 2];
+      all[0] = "request";
+      all[1] = requestId;
+      System.arraycopy(fields, 0, all, 2, fields.length);
+      offer(line(event, all));
+    }
+  }
+
+  /** Returns whether the successes of this request are logged. */
+  public static boolean samples(String requestId) {
+    return Math.floorMod(requestId.hashCode(), SUCCESS_SAMPLE) == 0;
+  }
+
+  /** Returns how many lines were dropped. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  @Override
+  public void close() {
+    writer.interrupt();
+    try {
+      writer.join(MILLIS_PER_SECOND);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private synchronized boolean mayLogRequest() {
+    long now = System.currentTimeMillis() / MILLIS_PER_SECOND;
+    if (now != second) {
+      second = now;
+      linesThisSecond = 0;
+      long lost = dropped.getAndSet(0);
+      if (lost > 0) {
+        offer(line("log-dropped", "lines", lost));
+      }
+    }
+    if (linesThisSecond++ < MAX_REQUEST_LINES_PER_SECOND) {
+      return true;
+    }
+    dropped.incrementAndGet();
+    return false;
+  }
+
+  private void offer(byte[] line) {
+    if (!queue.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private byte[] line(String event, Object... fields) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+    try (JsonGenerator out = json.createGenerator(bytes)) {
+      out.writeStartObject();
+      out.writeStringField("time", Instant.now().toString());
+      out.writeStringField("vm", vm);
+      out.writeStringField("event", event);
+      for (int i = 0; i + 1 < fields.length; i += 2) {
+        out.writeFieldName(String.valueOf(fields[i]));
+        writeValue(out, fields[i + 1]);
+      }
+      out.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    bytes.write('\n');
+    return bytes.toByteArray();
+  }
+
+  private static void writeValue(JsonGenerator out, Object value) throws IOException {
+    if (value instanceof Integer || value instanceof Long) {
+      out.writeNumber(((Number) value).longValue());
+    } else if (value instanceof Number number) {
+      out.writeNumber(Math.round(number.doubleValue() * 1000) / 1000.0);
+    } else if (value instanceof Boolean flag) {
+      out.writeBoolean(flag);
+    } else {
+      out.writeString(String.valueOf(value));
+    }
+  }
+
+  private void writeLines() {
+    try {
+      while (true) {
+        output.write(queue.take());
+        if (queue.isEmpty()) {
+          output.flush();
+        }
+      }
+    } catch (InterruptedException e) {
+      drain();
+    } catch (IOException e) {
+      // Standard output is gone; there is nowhere left to report it.
+      queue.clear();
+    }
+  }
+
+  private void drain() {
+    try {
+      for (byte[] line = queue.poll(); line != null; line = queue.poll()) {
+        output.write(line);
+      }
+      output.flush();
+    } catch (IOException e) {
+      // Standard output is gone; there is nowhere left to report it.
+      queue.clear();
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/observe/package-info.java
@@ -0,0 +1,2 @@
+/** What operators see of a running VM: the decision log and metrics. */
+package org.toucanrack.internal.observe;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/HttpMessage.java
@@ -0,0 +1,89 @@
+package org.toucanrack.internal.protocol.message;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A complete request or response with its decoded body. Immutable by convention: nobody writes to
+ * the body. Thread-safe.
+ *
+ * @param startLine request line or status line
+ * @param fields header fields in the order received
+ * @param body the body without transfer encoding
+ * @param endsWithConnection whether only the end of the connection ended the body
+ */
+public record HttpMessage(
+    String startLine, List<HttpField> fields, byte[] body, boolean endsWithConnection) {
+
+  private static final byte[] NO_BODY = {};
+
+  /** Copies the fields. */
+  public HttpMessage {
+    Objects.requireNonNull(startLine, "startLine");
+    fields = List.copyOf(fields);
+    Objects.requireNonNull(body, "body");
+  }
+
+  /** Creates a message with a body of known length. */
+  public static HttpMessage of(String startLine, List<HttpField> fields, byte[] body) {
+    return new HttpMessage(startLine, fields, body, false);
+  }
+
+  /** Creates a message without a body. */
+  public static HttpMessage of(String startLine, List<HttpField> fields) {
+    return of(startLine, fields, NO_BODY);
+  }
+
+  /** Returns the value of the first field with this name. */
+  public Optional<String> field(String name) {
+    for (HttpField field : fields) {
+      if (field.isNamed(name)) {
+        return Optional.of(field.value());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the method of a request. */
+  public String method() {
+    return startLine.substring(0, startLine.indexOf(' '));
+  }
+
+  /** Returns path and query of a request. */
+  public String target() {
+    int start = startLine.indexOf(' ') + 1;
+    return startLine.substring(start, startLine.indexOf(' ', start));
+  }
+
+  /** Returns the status of a response. */
+  public int status() {
+    return StatusLine.statusOf(startLine);
+  }
+
+  /** Returns whether the sender closes the connection after this message. */
+  public boolean closesConnection() {
+    return endsWithConnection
+        || fields.stream()
+            .anyMatch(
+                field ->
+                    field.isNamed("connection") && field.value().toLowerCase().contains("close"));
+  }
+
+  /** Returns the bytes of the message; the body length is stated unless there is no body. */
+  public byte[] encoded(boolean statesEmptyBody) {
+    StringBuilder head = new StringBuilder(256).append(startLine).append("\r\n");
+    for (HttpField field : fields) {
+      head.append(field.name()).append(": ").append(field.value()).append("\r\n");
+    }
+    if (body.length > 0 || statesEmptyBody) {
+      head.append("Content-Length: ").append(body.length).append("\r\n");
+    }
+    byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+    byte[] bytes = new byte[headBytes.length + body.length];
+    System.arraycopy(headBytes, 0, bytes, 0, headBytes.length);
+    System.arraycopy(body, 0, bytes, headBytes.length, body.length);
+    return bytes;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -0,0 +1,376 @@
+package org.toucanrack.internal.protocol.message;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Cuts the bytes of one connection into complete messages.
+ *
+ * <p>Ambiguous framing is rejected, since two readers that disagree about the end of a message let
+ * one request hide in another. Invariant: a message is returned only when its last byte was read.
+ * Not thread-safe.
+ */
+public final class MessageReader {
+
+  private static final int INITIAL_BYTES = 2048;
+  private static final int BAD_REQUEST = 400;
+  private static final int CONTENT_TOO_LARGE = 413;
+  private static final int HEADER_TOO_LARGE = 431;
+  private static final int MAX_LENGTH_DIGITS = 15;
+  private static final int MAX_CHUNK_DIGITS = 7;
+  private static final int HEXADECIMAL = 16;
+  private static final int MAX_CHUNK_LINE_BYTES = 64;
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+  private static final int FIRST_FINAL_STATUS = 200;
+  private static final int REQUEST_LINE_PARTS = 3;
+
+  /** Which kind of message the peer sends. */
+  public enum Kind {
+    REQUEST,
+    RESPONSE
+  }
+
+  private enum State {
+    HEAD,
+    LENGTH_BODY,
+    CHUNK_SIZE,
+    CHUNK_DATA,
+    CHUNK_END,
+    TRAILER,
+    UNTIL_END
+  }
+
+  private final Kind kind;
+  private final int maxHeadBytes;
+  private final long maxBodyBytes;
+  private byte[] buffer = new byte[INITIAL_BYTES];
+  private int start;
+  private int end;
+  private State state = State.HEAD;
+  private String startLine;
+  private List<HttpField> fields = List.of();
+  private long left;
+  private ByteArrayOutputStream chunks;
+  private byte[] finishedChunks;
+
+  /** Creates a reader with limits in bytes. */
+  public MessageReader(Kind kind, int maxHeadBytes, long maxBodyBytes) {
+    this.kind = kind;
+    this.maxHeadBytes = maxHeadBytes;
+    this.maxBodyBytes = maxBodyBytes;
+  }
+
+  /** Adds received bytes. */
+  public void feed(byte[] bytes, int offset, int length) {
+    if (start == end) {
+      start = 0;
+      end = 0;
+    }
+    if (end + length > buffer.length) {
+      int used = end - start;
+      byte[] target =
+          used + length > buffer.length
+              ? new byte[Math.max(used + length, buffer.length * 2)]
+              : buffer;
+      System.arraycopy(buffer, start, target, 0, used);
+      buffer = target;
+      start = 0;
+      end = used;
+    }
+    System.arraycopy(bytes, offset, buffer, end, length);
+    end += length;
+  }
+
+  /** Returns whether bytes of an unfinished or unread message are held. */
+  public boolean holdsBytes() {
+    return start < end || state != State.HEAD;
+  }
+
+  /** Returns whether a head was read whose body has not ended. */
+  public boolean inBody() {
+    return state != State.HEAD;
+  }
+
+  /** Returns the next message if all of it was received. */
+  public Optional<HttpMessage> poll() throws MalformedMessage {
+    while (true) {
+      boolean progress =
+          switch (state) {
+            case HEAD -> readHead();
+            case LENGTH_BODY -> end - start >= left;
+            case CHUNK_SIZE -> readChunkSize();
+            case CHUNK_DATA -> readChunkData();
+            case CHUNK_END -> readChunkEnd();
+            case TRAILER -> readTrailer();
+            case UNTIL_END -> checkUnframedSize();
+          };
+      if (!progress) {
+        return Optional.empty();
+      }
+      if (state == State.LENGTH_BODY && end - start >= left) {
+        byte[] body = Arrays.copyOfRange(buffer, start, start + (int) left);
+        start += (int) left;
+        return Optional.of(finish(body, false));
+      }
+      if (finishedChunks != null) {
+        byte[] body = finishedChunks;
+        finishedChunks = null;
+        return Optional.of(finish(body, false));
+      }
+    }
+  }
+
+  /** Returns the message that the orderly end of the connection completes, if there is one. */
+  public Optional<HttpMessage> pollAtEnd() {
+    if (state != State.UNTIL_END) {
+      return Optional.empty();
+    }
+    byte[] body = Arrays.copyOfRange(buffer, start, end);
+    start = end;
+    return Optional.of(finish(body, true));
+  }
+
+  private HttpMessage finish(byte[] body, boolean endsWithConnection) {
+    state = State.HEAD;
+    chunks = null;
+    return new HttpMessage(startLine, fields, body, endsWithConnection);
+  }
+
+  private boolean checkUnframedSize() throws MalformedMessage {
+    if (end - start > maxBodyBytes) {
+      throw tooLarge();
+    }
+    return false;
+  }
+
+  private boolean readHead() throws MalformedMessage {
+    skipEmptyLines();
+    int headEnd = endOfHead();
+    if (headEnd < 0) {
+      if (end - start > maxHeadBytes) {
+        throw new MalformedMessage(HEADER_TOO_LARGE, "the header is too large");
+      }
+      return false;
+    }
+    if (headEnd - start > maxHeadBytes) {
+      throw new MalformedMessage(HEADER_TOO_LARGE, "the header is too large");
+    }
+    String head = new String(buffer, start, headEnd - start, StandardCharsets.ISO_8859_1);
+    start = headEnd;
+    parseHead(head);
+    return true;
+  }
+
+  /** An empty line before a request is allowed by RFC 9112. */
+  private void skipEmptyLines() {
+    while (kind == Kind.REQUEST
+        && end - start >= 2
+        && buffer[start] == '\r'
+        && buffer[start + 1] == '\n') {
+      start += 2;
+    }
+  }
+
+  private int endOfHead() {
+    for (int i = start; i + 3 < end; i++) {
+      if (buffer[i] == '\r'
+          && buffer[i + 1] == '\n'
+          && buffer[i + 2] == '\r'
+          && buffer[i + 3] == '\n') {
+        return i + 4;
+      }
+    }
+    return -1;
+  }
+
+  private void parseHead(String head) throws MalformedMessage {
+    String[] lines = head.split("\r\n");
+    startLine = lines.length == 0 ? "" : lines[0];
+    checkStartLine();
+    List<HttpField> read = new ArrayList<>(lines.length);
+    for (int i = 1; i < lines.length; i++) {
+      read.add(parseField(lines[i]));
+    }
+    fields = read;
+    startBody();
+  }
+
+  private void checkStartLine() throws MalformedMessage {
+    boolean valid;
+    if (kind == Kind.RESPONSE) {
+      valid = StatusLine.isValid(startLine);
+    } else {
+      String[] parts = startLine.split(" ", -1);
+      valid =
+          parts.length == REQUEST_LINE_PARTS
+              && isToken(parts[0])
+              && parts[1].startsWith("/")
+              && parts[2].equals("HTTP/1.1")
+              && !hasControl(startLine);
+    }
+    if (!valid) {
+      throw bad("the start line is not valid");
+    }
+  }
+
+  private static HttpField parseField(String line) throws MalformedMessage {
+    int colon = line.indexOf(':');
+    if (colon < 1 || !isToken(line.substring(0, colon)) || hasControl(line)) {
+      throw bad("a header field is not valid");
+    }
+    return new HttpField(line.substring(0, colon), line.substring(colon + 1).strip());
+  }
+
+  private void startBody() throws MalformedMessage {
+    int lengths = 0;
+    int encodings = 0;
+    long length = 0;
+    for (HttpField field : fields) {
+      if (field.isNamed("content-length")) {
+        lengths++;
+        length = parseLength(field.value());
+      } else if (field.isNamed("transfer-encoding")) {
+        encodings++;
+        if (!field.value().equalsIgnoreCase("chunked")) {
+          throw bad("the transfer encoding is not supported");
+        }
+      }
+    }
+    if (lengths + encodings > 1) {
+      throw bad("the length of the body is ambiguous");
+    }
+    if (length > maxBodyBytes) {
+      throw tooLarge();
+    }
+    left = length;
+    boolean bodiless = kind == Kind.RESPONSE && hasNoBody(StatusLine.statusOf(startLine));
+    if (encodings > 0 && !bodiless) {
+      chunks = new ByteArrayOutputStream();
+      state = State.CHUNK_SIZE;
+    } else if (lengths > 0 || bodiless || kind == Kind.REQUEST) {
+      left = bodiless ? 0 : length;
+      state = State.LENGTH_BODY;
+    } else {
+      state = State.UNTIL_END;
+    }
+  }
+
+  private static boolean hasNoBody(int status) {
+    return status < FIRST_FINAL_STATUS || status == NO_CONTENT || status == NOT_MODIFIED;
+  }
+
+  private static long parseLength(String value) throws MalformedMessage {
+    boolean digits =
+        !value.isEmpty()
+            && value.length() <= MAX_LENGTH_DIGITS
+            && value.chars().allMatch(c -> c >= '0' && c <= '9');
+    if (!digits) {
+      throw bad("the length of the body is not valid");
+    }
+    return Long.parseLong(value);
+  }
+
+  private boolean readChunkSize() throws MalformedMessage {
+    String line = line();
+    if (line == null) {
+      return false;
+    }
+    int extension = line.indexOf(';');
+    String digits = (extension < 0 ? line : line.substring(0, extension)).strip();
+    if (digits.isEmpty() || digits.length() > MAX_CHUNK_DIGITS) {
+      throw bad("a chunk size is not valid");
+    }
+    left = 0;
+    for (int i = 0; i < digits.length(); i++) {
+      int digit = Character.digit(digits.charAt(i), HEXADECIMAL);
+      if (digit < 0) {
+        throw bad("a chunk size is not valid");
+      }
+      left = left * HEXADECIMAL + digit;
+    }
+    if (chunks.size() + left > maxBodyBytes) {
+      throw tooLarge();
+    }
+    state = left == 0 ? State.TRAILER : State.CHUNK_DATA;
+    return true;
+  }
+
+  private boolean readChunkData() {
+    int taken = (int) Math.min(left, end - start);
+    chunks.write(buffer, start, taken);
+    start += taken;
+    left -= taken;
+    if (left > 0) {
+      return false;
+    }
+    state = State.CHUNK_END;
+    return true;
+  }
+
+  private boolean readChunkEnd() throws MalformedMessage {
+    String line = line();
+    if (line == null) {
+      return false;
+    }
+    if (!line.isEmpty()) {
+      throw bad("a chunk does not end where it should");
+    }
+    state = State.CHUNK_SIZE;
+    return true;
+  }
+
+  /** Trailer fields are read and dropped. */
+  private boolean readTrailer() throws MalformedMessage {
+    String line = line();
+    if (line == null) {
+      return false;
+    }
+    if (line.isEmpty()) {
+      finishedChunks = chunks.toByteArray();
+    }
+    return true;
+  }
+
+  private String line() throws MalformedMessage {
+    for (int i = start; i + 1 < end; i++) {
+      if (buffer[i] == '\r' && buffer[i + 1] == '\n') {
+        String line = new String(buffer, start, i - start, StandardCharsets.ISO_8859_1);
+        start = i + 2;
+        return line;
+      }
+    }
+    if (end - start > MAX_CHUNK_LINE_BYTES && state != State.TRAILER
+        || end - start > maxHeadBytes) {
+      throw bad("a line of a chunked body is too long");
+    }
+    return null;
+  }
+
+  private static MalformedMessage bad(String message) {
+    return new MalformedMessage(BAD_REQUEST, message);
+  }
+
+  private static MalformedMessage tooLarge() {
+    return new MalformedMessage(CONTENT_TOO_LARGE, "the body is too large");
+  }
+
+  private static boolean isToken(String name) {
+    return !name.isEmpty()
+        && name.chars()
+            .allMatch(
+                c ->
+                    (c >= 'a' && c <= 'z')
+                        || (c >= 'A' && c <= 'Z')
+                        || (c >= '0' && c <= '9')
+                        || "!#$%&'*+-.^_`|~".indexOf(c) >= 0);
+  }
+
+  private static boolean hasControl(String line) {
+    return line.chars().anyMatch(c -> (c < ' ' && c != '\t') || c == 0x7f);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP/1.1 messages as they stand on a connection: heads, complete bodies, and their reader. */
+package org.toucanrack.internal.protocol.message;
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
@@ -0,0 +1,59 @@
+package org.toucanrack.internal.serve.entry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Counters and latency histograms of one VM. Thread-safe. */
+final class EntryMetrics {
+
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Histogram latency =
+      Histogram.builder()
+          .name("toucanrack_request_seconds")
+          .help("Time from the request to the answer, by route, customer and class of status.")
+          .labelNames("route", "customer", "status")
+          .classicOnly()
+          .classicUpperBounds(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 4)
+          .register(registry);
+  private final Counter refusals =
+      Counter.builder()
+          .name("toucanrack_refusals_total")
+          .help("Requests refused before they reached a server, by reason.")
+          .labelNames("reason")
+          .register(registry);
+  private final Counter storeCalls =
+      Counter.builder()
+          .name("toucanrack_store_calls_total")
+          .help("Calls to the platform's store, by kind and outcome.")
+          .labelNames("kind", "outcome")
+          .register(registry);
+
+  void finished(String route, String customer, int status, long millis) {
+    latency.labelValues(route, customer, status / 100 + "xx").observe(millis / MILLIS_PER_SECOND);
+  }
+
+  void refused(String reason) {
+    refusals.labelValues(reason).inc();
+  }
+
+  void storeCall(String kind, String outcome) {
+    storeCalls.labelValues(kind, outcome).inc();
+  }
+
+  byte[] text() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      new PrometheusTextFormatWriter(true).write(bytes, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -0,0 +1,246 @@
+package org.toucanrack.internal.serve.entry;
+
+import io.activej.eventloop.Eventloop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.internal.coordination.steer.RateShares;
+import org.toucanrack.internal.coordination.steer.TrialEvidence;
+import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.internal.protocol.message.HttpField;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.internal.transport.relay.ConnectionPool;
+import org.toucanrack.internal.transport.relay.HttpListener;
+import org.toucanrack.internal.transport.relay.ListenerLimits;
+import org.toucanrack.internal.transport.relay.RequestHandler;
+import org.toucanrack.internal.transport.relay.Responses;
+import org.toucanrack.steering.EntrySettings;
+import org.toucanrack.steering.LookupFormat;
+import org.toucanrack.steering.PlatformBinding;
+
+/**
+ * One entry VM on a platform: a control thread and a traffic thread.
+ *
+ * <pre>{@code
+ * EntryNode.run(settings, binding); // returns after a planned stop
+ * }</pre>
+ *
+ * <p>Invariant: each side is used on its own thread only; both exchange immutable values. The
+ * public methods are thread-safe.
+ */
+public final class EntryNode {
+
+  /** How often counts pass from the traffic thread to the control thread. */
+  private static final long REPORT_MS = 250;
+
+  /** Time before the end of the grace in which a stopping process ends whatever still runs. */
+  private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+
+  /** A stopping VM serves at least this long, until callers have new answers to their look-ups. */
+  private static final Duration STOP_SERVES = Duration.ofMillis(3500);
+
+  private static final long STOP_POLL_MS = 50;
+  private static final int MAX_STORE_HEAD_BYTES = 16 * 1024;
+  private static final long MAX_STORE_BODY_BYTES = 64L * 1024 * 1024;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
+  private static final HttpField METRICS_TYPE =
+      new HttpField("Content-Type", "text/plain; version=0.0.4; charset=utf-8");
+
+  private final EntrySettings settings;
+  private final LookupFormat lookups;
+  private final DecisionLog log;
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final Eventloop controlLoop;
+  private final Eventloop trafficLoop;
+  private final TrafficSide traffic;
+  private final ControlSide control;
+  private final HttpListener readiness;
+  private final HttpListener lookup;
+  private final HttpListener peers;
+  private final Optional<HttpListener> metricsListener;
+
+  /** Wires a VM; nothing runs before {@link #start}. */
+  public EntryNode(EntrySettings settings, PlatformBinding platform, DecisionLog log) {
+    this.settings = settings;
+    this.lookups = platform.lookups();
+    this.log = log;
+    this.controlLoop = eventloop("control");
+    this.trafficLoop = eventloop("traffic");
+    this.traffic = new TrafficSide(trafficLoop, settings, platform.headers(), log, metrics);
+    ConnectionPool controlPool =
+        new ConnectionPool(controlLoop, MAX_STORE_HEAD_BYTES, MAX_STORE_BODY_BYTES);
+    this.control =
+        new ControlSide(
+            controlLoop,
+            settings,
+            platform,
+            log,
+            controlPool,
+            facts -> onTraffic(() -> traffic.state().adopt(facts, System.nanoTime())),
+            (heard, claims) ->
+                onTraffic(() -> traffic.state().adoptPeers(heard, claims, System.nanoTime())));
+    EntrySettings.Listen listen = settings.listen();
+    this.readiness = internal(listen.readiness(), this::answerReadiness);
+    this.lookup = internal(listen.lookup(), this::answerLookup);
+    this.peers = internal(listen.peers(), control.exchange());
+    this.metricsListener = listen.metrics().map(address -> internal(address, this::answerMetrics));
+  }
+
+  /** Runs a VM until the process is told to stop, then stops it on plan. */
+  public static void run(EntrySettings settings, PlatformBinding platform, DecisionLog log) {
+    EntryNode node = new EntryNode(settings, platform, log);
+    CountDownLatch stopped = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  node.stop();
+                  stopped.countDown();
+                },
+                "planned-stop"));
+    node.start();
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Starts both threads. */
+  public void start() {
+    onTraffic(
+        () -> {
+          traffic.listen();
+          reportTraffic();
+        });
+    controlLoop.execute(
+        () -> {
+          readiness.listen();
+          lookup.listen();
+          peers.listen();
+          metricsListener.ifPresent(HttpListener::listen);
+          control.start();
+          log.event(
+              "started",
+              "domain",
+              settings.failureDomain(),
+              "callers",
+              settings.listen().callers(),
+              "pid",
+              ProcessHandle.current().pid());
+        });
+    run(trafficLoop);
+    run(controlLoop);
+  }
+
+  /** Stops on plan: callers are sent elsewhere, running requests end, then the process does. */
+  public void stop() {
+    long startNanos = System.nanoTime();
+    log.event("stopping", "grace_ms", settings.bounds().stopGrace().toMillis());
+    controlLoop.execute(control::leave);
+    onTraffic(() -> traffic.listener().closeConnectionsAfterAnswer());
+    Duration most = settings.bounds().stopGrace().minus(STOP_MARGIN);
+    Duration least = STOP_SERVES.compareTo(most) < 0 ? STOP_SERVES : most;
+    while (elapsed(startNanos).compareTo(most) < 0
+        && (elapsed(startNanos).compareTo(least) < 0 || busy() > 0)) {
+      pause();
+    }
+    controlLoop.execute(control::close);
+    log.event("stopped", "after_ms", elapsed(startNanos).toMillis(), "running", busy());
+    log.close();
+  }
+
+  private int busy() {
+    try {
+      return CompletableFuture.supplyAsync(
+              () -> traffic.runningRequests() + traffic.listener().busyConnections(), trafficLoop)
+          .get(1, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    } catch (ExecutionException | TimeoutException e) {
+      log.event("stop-count-failed", "reason", String.valueOf(e.getMessage()));
+      return 1;
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(STOP_POLL_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Duration elapsed(long startNanos) {
+    return Duration.ofNanos(System.nanoTime() - startNanos);
+  }
+
+  private void reportTraffic() {
+    Map<CustomerId, RateShares.Claim> claims = traffic.state().claims();
+    Map<TrafficState.EvidenceKey, TrialEvidence> evidence = traffic.state().evidence();
+    controlLoop.execute(() -> control.learnTraffic(claims, evidence));
+    trafficLoop.delayBackground(REPORT_MS, this::reportTraffic);
+  }
+
+  private void answerReadiness(HttpMessage request, RequestHandler.Exchange exchange) {
+    boolean ready = lookups.asksReadiness(request) && control.isReady();
+    exchange.respond(Responses.text(ready ? OK : UNAVAILABLE, ready ? "ready" : "not ready"));
+  }
+
+  private void answerLookup(HttpMessage request, RequestHandler.Exchange exchange) {
+    Optional<LookupFormat.Question> question = lookups.question(request);
+    if (question.isEmpty()) {
+      exchange.respond(Responses.text(NOT_FOUND, "unknown path"));
+      return;
+    }
+    List<InetSocketAddress> vms = control.vmsFor(question.get().failureDomain());
+    exchange.respond(
+        vms.isEmpty()
+            ? Responses.text(UNAVAILABLE, "no VM is ready")
+            : lookups.answer(vms, control.lookupTtl()));
+  }
+
+  private void answerMetrics(HttpMessage request, RequestHandler.Exchange exchange) {
+    exchange.respond(Responses.withBody(OK, METRICS_TYPE, metrics.text()));
+  }
+
+  private HttpListener internal(InetSocketAddress address, RequestHandler handler) {
+    return new HttpListener(controlLoop, address, handler, () -> ListenerLimits.INTERNAL);
+  }
+
+  private void onTraffic(Runnable action) {
+    trafficLoop.execute(action::run);
+  }
+
+  /** A fault in one task is logged and ends that task only. */
+  private Eventloop eventloop(String name) {
+    return Eventloop.builder()
+        .withThreadName(name)
+        .withFatalErrorHandler(
+            (fault, context) -> log.event("fault", "thread", name, "reason", describe(fault)))
+        .build();
+  }
+
+  private static String describe(Throwable fault) {
+    StackTraceElement[] trace = fault.getStackTrace();
+    return fault + (trace.length == 0 ? "" : " at " + trace[0]);
+  }
+
+  private static void run(Eventloop loop) {
+    loop.keepAlive(true);
+    Thread thread = new Thread(loop);
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ForwardedHeaders.java
@@ -0,0 +1,94 @@
+package org.toucanrack.internal.serve.entry;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.internal.protocol.message.HttpField;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.steering.HeaderNames;
+
+/** Says which header fields pass between callers and backend servers. Thread-safe. */
+final class ForwardedHeaders {
+
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "content-length",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+
+  private final HeaderNames names;
+  private final Set<String> ownFields;
+
+  ForwardedHeaders(HeaderNames names) {
+    this.names = names;
+    this.ownFields =
+        Set.of(
+            lower(names.deadlineMillis()), lower(names.expectedServer()), lower(names.customer()));
+  }
+
+  /** Returns the request as it is sent to a server. */
+  HttpMessage toServer(
+      HttpMessage request,
+      BackendServerId server,
+      Optional<CustomerId> customer,
+      boolean keyed,
+      long deadlineMillis) {
+    List<HttpField> fields = new ArrayList<>(request.fields().size() + 3);
+    Set<String> nominated = nominated(request);
+    for (HttpField field : request.fields()) {
+      String name = lower(field.name());
+      boolean isKey = keyed && name.equals("authorization");
+      if (!HOP_BY_HOP.contains(name)
+          && !nominated.contains(name)
+          && !ownFields.contains(name)
+          && !isKey) {
+        fields.add(field);
+      }
+    }
+    fields.add(new HttpField(names.deadlineMillis(), Long.toString(deadlineMillis)));
+    fields.add(new HttpField(names.expectedServer(), server.value()));
+    customer.ifPresent(id -> fields.add(new HttpField(names.customer(), id.value())));
+    return HttpMessage.of(request.startLine(), fields, request.body());
+  }
+
+  /** Returns a server's answer as it is sent to the caller. */
+  HttpMessage toCaller(HttpMessage answer) {
+    List<HttpField> fields = new ArrayList<>(answer.fields().size());
+    Set<String> nominated = nominated(answer);
+    for (HttpField field : answer.fields()) {
+      String name = lower(field.name());
+      if (!HOP_BY_HOP.contains(name) && !nominated.contains(name)) {
+        fields.add(field);
+      }
+    }
+    return HttpMessage.of(answer.startLine(), fields, answer.body());
+  }
+
+  private static Set<String> nominated(HttpMessage message) {
+    Set<String> nominated = new HashSet<>();
+    for (HttpField field : message.fields()) {
+      if (field.isNamed("connection")) {
+        for (String name : field.value().split(",")) {
+          nominated.add(lower(name.strip()));
+        }
+      }
+    }
+    return nominated;
+  }
+
+  private static String lower(String name) {
+    return name.toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/OrderBook.java
@@ -0,0 +1,146 @@
+package org.toucanrack.internal.serve.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.steering.AnnouncedServer;
+import org.toucanrack.steering.FactDecoder;
+import org.toucanrack.steering.RolloutOrder;
+import org.toucanrack.steering.SharedRow;
+import org.toucanrack.steering.SteeringRules;
+
+/**
+ * The decoded rows of the store: rules, orders and servers.
+ *
+ * <p>Invariant: the rules only change to a higher version. Confined to the control thread.
+ */
+final class OrderBook {
+
+  private final FactDecoder decoder;
+  private final DecisionLog log;
+  private final Map<String, AnnouncedServer> servers = new HashMap<>();
+  private final Map<String, FailureDomainId> evacuations = new HashMap<>();
+  private final Map<String, RolloutOrder> rollouts = new HashMap<>();
+  private Optional<SteeringRules> rules = Optional.empty();
+
+  OrderBook(FactDecoder decoder, DecisionLog log) {
+    this.decoder = decoder;
+    this.log = log;
+  }
+
+  /** Takes over a row of the orders. */
+  void order(SharedRow row) {
+    String name = row.key().name();
+    if (row.isRemoved()) {
+      if (evacuations.remove(name) != null) {
+        log.event("evacuation-ended", "order", name, "revision", row.revision());
+      }
+      rollouts.remove(name);
+      return;
+    }
+    Optional<FactDecoder.Order> order = decoder.order(row);
+    if (order.isEmpty()) {
+      log.event("order-unreadable", "order", name, "revision", row.revision());
+    }
+    order.ifPresent(read -> take(name, read, row.revision()));
+  }
+
+  private void take(String name, FactDecoder.Order order, long revision) {
+    if (order instanceof FactDecoder.Order.Rules newest) {
+      adopt(newest.rules(), revision);
+    } else if (order instanceof FactDecoder.Order.Rollout rollout) {
+      rollouts.put(name, rollout.order());
+      log.event(
+          "rollout-ordered",
+          "service",
+          rollout.order().service(),
+          "to",
+          rollout.order().to(),
+          "within_ms",
+          rollout.order().within().toMillis(),
+          "revision",
+          revision);
+    } else if (order instanceof FactDecoder.Order.Evacuation evacuation) {
+      evacuations.put(name, evacuation.failureDomain());
+      log.event("evacuation-ordered", "domain", evacuation.failureDomain(), "revision", revision);
+    }
+  }
+
+  private void adopt(SteeringRules newest, long revision) {
+    long current = rules.map(SteeringRules::version).orElse(-1L);
+    if (newest.version() > current) {
+      rules = Optional.of(newest);
+      log.event(
+          "rules-adopted",
+          "version",
+          newest.version(),
+          "before",
+          current,
+          "revision",
+          revision,
+          "routes",
+          newest.routes().size());
+    }
+  }
+
+  /** Takes over a row of the servers. */
+  void server(SharedRow row) {
+    String name = row.key().name();
+    AnnouncedServer before = servers.remove(name);
+    Optional<AnnouncedServer> server = row.isRemoved() ? Optional.empty() : decoder.server(row);
+    server.ifPresent(announced -> servers.put(name, announced));
+    if (server.isEmpty() && !row.isRemoved()) {
+      log.event("server-unreadable", "server", name, "revision", row.revision());
+    } else if (server.isEmpty() && before != null) {
+      log.event("server-gone", "server", name, "revision", row.revision());
+    } else if (server.isPresent() && changesUse(before, server.get())) {
+      log.event(
+          "server-announced",
+          "server",
+          name,
+          "service",
+          server.get().service(),
+          "version",
+          server.get().version(),
+          "draining",
+          server.get().draining(),
+          "cold_ms",
+          server.get().coldLeft().toMillis(),
+          "revision",
+          row.revision());
+    }
+  }
+
+  private static boolean changesUse(AnnouncedServer before, AnnouncedServer now) {
+    return before == null
+        || before.draining() != now.draining()
+        || before.startedAtMillis() != now.startedAtMillis()
+        || before.coldLeft().isZero() != now.coldLeft().isZero();
+  }
+
+  Optional<AnnouncedServer> server(String name) {
+    return Optional.ofNullable(servers.get(name));
+  }
+
+  List<AnnouncedServer> servers() {
+    return new ArrayList<>(servers.values());
+  }
+
+  Set<FailureDomainId> evacuated() {
+    return new HashSet<>(evacuations.values());
+  }
+
+  List<RolloutOrder> rollouts() {
+    return new ArrayList<>(rollouts.values());
+  }
+
+  Optional<SteeringRules> rules() {
+    return rules;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/OwnAnswers.java
@@ -0,0 +1,28 @@
+package org.toucanrack.internal.serve.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import org.toucanrack.internal.protocol.message.HttpField;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.internal.transport.relay.Responses;
+
+/** Answers that this VM makes itself. Stateless and thread-safe. */
+final class OwnAnswers {
+
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private OwnAnswers() {}
+
+  /** The request has not run; the caller may send it again after a pause. */
+  static HttpMessage notRun(int status, Duration retryAfter) {
+    String seconds = String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / MILLIS_PER_SECOND);
+    return HttpMessage.of(
+        Responses.statusLine(status), List.of(new HttpField("Retry-After", seconds)));
+  }
+
+  /** A status without further promise. */
+  static HttpMessage plain(int status) {
+    return HttpMessage.of(Responses.statusLine(status), List.of());
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowExchange.java
@@ -0,0 +1,114 @@
+package org.toucanrack.internal.serve.entry;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+import org.toucanrack.internal.protocol.generated.SharedRowCopy;
+import org.toucanrack.internal.protocol.generated.SharedRows;
+import org.toucanrack.internal.protocol.message.HttpField;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.internal.state.shared.SharedBoard;
+import org.toucanrack.internal.transport.relay.AnswerListener;
+import org.toucanrack.internal.transport.relay.ConnectionPool;
+import org.toucanrack.internal.transport.relay.RequestHandler;
+import org.toucanrack.internal.transport.relay.Responses;
+import org.toucanrack.steering.SharedRow;
+import org.toucanrack.steering.SharedTable;
+
+/**
+ * Passes rows of the store between VMs, for those that cannot reach the store. Confined to the
+ * control thread.
+ */
+final class RowExchange implements RequestHandler {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+  private static final HttpField PROTOBUF = new HttpField("Content-Type", "application/x-protobuf");
+  private static final String PATH = "/rows/";
+  private static final List<SharedTable> TABLES =
+      List.of(SharedTable.ORDERS, SharedTable.SERVERS, SharedTable.REPORTS);
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+
+  private final SharedBoard board;
+  private final ConnectionPool pool;
+  private final Consumer<SharedRows> receiver;
+  private boolean fetching;
+
+  RowExchange(SharedBoard board, ConnectionPool pool, Consumer<SharedRows> receiver) {
+    this.board = board;
+    this.pool = pool;
+    this.receiver = receiver;
+  }
+
+  /** Asks another VM for the rows that this one lacks. */
+  void fetch(InetSocketAddress peer) {
+    if (fetching) {
+      return;
+    }
+    fetching = true;
+    StringBuilder path = new StringBuilder(PATH);
+    for (SharedTable table : TABLES) {
+      path.append(board.newestRow(table)).append('/');
+    }
+    HttpMessage request =
+        HttpMessage.of(
+            "GET " + path + " HTTP/1.1", List.of(new HttpField("Host", "toucanrack-peer")));
+    pool.send(peer, request.encoded(false), null, CONNECT_TIMEOUT, new Receiver());
+  }
+
+  @Override
+  public void handle(HttpMessage request, Exchange exchange) {
+    String target = request.target();
+    if (!target.startsWith(PATH)) {
+      exchange.respond(Responses.text(NOT_FOUND, "unknown path"));
+      return;
+    }
+    String[] known = target.substring(PATH.length()).split("/");
+    SharedRows.Builder rows = SharedRows.newBuilder();
+    for (int i = 0; i < TABLES.size() && i < known.length; i++) {
+      if (known[i].matches("[0-9]{1,18}")) {
+        for (SharedRow row : board.rowsAfter(TABLES.get(i), Long.parseLong(known[i]))) {
+          rows.addRows(copyOf(row));
+        }
+      }
+    }
+    exchange.respond(Responses.withBody(OK, PROTOBUF, rows.build().toByteArray()));
+  }
+
+  private static SharedRowCopy copyOf(SharedRow row) {
+    SharedRowCopy.Builder copy =
+        SharedRowCopy.newBuilder()
+            .setTable(row.key().table().name())
+            .setName(row.key().name())
+            .setRevision(row.revision())
+            .setRemoved(row.isRemoved());
+    if (!row.isRemoved()) {
+      copy.setValue(ByteString.copyFrom(row.value()));
+    }
+    return copy.build();
+  }
+
+  private final class Receiver implements AnswerListener {
+
+    @Override
+    public void answered(HttpMessage answer) {
+      fetching = false;
+      if (answer.status() != OK) {
+        return;
+      }
+      try {
+        receiver.accept(SharedRows.parseFrom(answer.body()));
+      } catch (InvalidProtocolBufferException e) {
+        throw new IllegalStateException("another VM sent rows that cannot be read", e);
+      }
+    }
+
+    @Override
+    public void failed(CallFailure failure, String reason) {
+      fetching = false;
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -0,0 +1,287 @@
+package org.toucanrack.internal.serve.entry;
+
+import io.activej.reactor.nio.NioReactor;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.coordination.steer.RateShares;
+import org.toucanrack.internal.coordination.steer.RuleIndex;
+import org.toucanrack.internal.coordination.steer.ServerState;
+import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.internal.transport.relay.ConnectionPool;
+import org.toucanrack.internal.transport.relay.HttpListener;
+import org.toucanrack.internal.transport.relay.ListenerLimits;
+import org.toucanrack.internal.transport.relay.RequestHandler;
+import org.toucanrack.steering.CallerLimits;
+import org.toucanrack.steering.CustomerRule;
+import org.toucanrack.steering.EntrySettings;
+import org.toucanrack.steering.HeaderNames;
+import org.toucanrack.steering.RouteRule;
+import org.toucanrack.steering.ServiceRule;
+
+/** Admits the requests of callers and runs them. Confined to the traffic thread. */
+final class TrafficSide implements RequestHandler {
+
+  /** Largest header and body of a server's answer; a larger one is treated as spoiled. */
+  private static final int MAX_ANSWER_HEAD_BYTES = 32 * 1024;
+
+  private static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
+
+  /** Pause of callers while this VM has no configuration: about one read of the store. */
+  private static final Duration UNCONFIGURED_PAUSE = Duration.ofMillis(300);
+
+  private static final String BEARER = "Bearer ";
+  private static final int UNAUTHORIZED = 401;
+  private static final int NOT_FOUND = 404;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int UNAVAILABLE = 503;
+
+  private final NioReactor reactor;
+  private final HeaderNames names;
+  private final ForwardedHeaders headers;
+  private final TrafficState state;
+  private final ConnectionPool pool;
+  private final DecisionLog log;
+  private final EntryMetrics metrics;
+  private final HttpListener listener;
+  private final Set<RequestRun> running = new HashSet<>();
+
+  TrafficSide(
+      NioReactor reactor,
+      EntrySettings settings,
+      HeaderNames names,
+      DecisionLog log,
+      EntryMetrics metrics) {
+    this.reactor = reactor;
+    this.names = names;
+    this.headers = new ForwardedHeaders(names);
+    this.state = new TrafficState(settings);
+    this.pool = new ConnectionPool(reactor, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BYTES);
+    this.log = log;
+    this.metrics = metrics;
+    this.listener =
+        new HttpListener(reactor, settings.listen().callers(), this, this::listenerLimits);
+  }
+
+  void listen() {
+    listener.listen();
+  }
+
+  HttpListener listener() {
+    return listener;
+  }
+
+  int runningRequests() {
+    return running.size();
+  }
+
+  @Override
+  public void handle(HttpMessage request, Exchange exchange) {
+    long now = now();
+    Optional<RuleIndex> rules = state.rules();
+    String requestId = request.field(names.requestId()).orElse("-");
+    if (rules.isEmpty()) {
+      refuse(exchange, requestId, "no-configuration", UNAVAILABLE, UNCONFIGURED_PAUSE);
+      return;
+    }
+    Optional<RouteRule> route =
+        rules.get().route(request.field("Host").orElse(""), request.target());
+    if (route.isEmpty()) {
+      reject(exchange, requestId, "no-route", NOT_FOUND);
+      return;
+    }
+    Optional<CustomerRule> customer = customer(rules.get(), request);
+    if (customer.isEmpty() && rules.get().needsKeys() && !route.get().open()) {
+      reject(exchange, requestId, "unknown-key", UNAUTHORIZED);
+      return;
+    }
+    if (customer.isPresent()) {
+      RateShares.Decision decision = state.rates().admit(customer.get(), now);
+      if (!decision.admitted()) {
+        log.request(
+            "rate-refused",
+            requestId,
+            "customer",
+            customer.get().id(),
+            "share",
+            decision.share(),
+            "rules",
+            rulesVersion());
+        metrics.refused("rate");
+        exchange.respond(OwnAnswers.notRun(TOO_MANY_REQUESTS, decision.retryAfter()));
+        return;
+      }
+    }
+    run(request, exchange, requestId, rules.get(), route.get(), customer, now);
+  }
+
+  private void run(
+      HttpMessage request,
+      Exchange exchange,
+      String requestId,
+      RuleIndex rules,
+      RouteRule route,
+      Optional<CustomerRule> customer,
+      long now) {
+    ServiceId service = state.nextService(route);
+    ServiceRule rule =
+        rules.service(service).orElseGet(() -> new ServiceRule(service, 1, Duration.ZERO, 1));
+    new RequestRun(
+            this,
+            exchange,
+            request,
+            requestId,
+            route,
+            customer,
+            rule,
+            homes(route, customer),
+            objectOf(request),
+            now,
+            now + Math.min(route.timeout().toNanos(), patienceNanos(request, route)))
+        .start();
+  }
+
+  private void refuse(
+      Exchange exchange, String requestId, String why, int status, Duration retryAfter) {
+    log.request("answer", requestId, "status", status, "why", why);
+    metrics.refused(why);
+    exchange.respond(OwnAnswers.notRun(status, retryAfter));
+  }
+
+  private void reject(Exchange exchange, String requestId, String why, int status) {
+    log.request("answer", requestId, "status", status, "why", why, "rules", rulesVersion());
+    metrics.refused(why);
+    exchange.respond(OwnAnswers.plain(status));
+  }
+
+  private static Optional<CustomerRule> customer(RuleIndex rules, HttpMessage request) {
+    return request
+        .field("Authorization")
+        .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+        .flatMap(value -> rules.customer(value.substring(BEARER.length()).strip()));
+  }
+
+  /** Both the route's and the customer's regions bind; an empty result would mean all regions. */
+  private static Set<RegionId> homes(RouteRule route, Optional<CustomerRule> customer) {
+    Set<RegionId> ofCustomer = customer.map(CustomerRule::homeRegions).orElse(Set.of());
+    if (route.homeRegions().isEmpty()) {
+      return ofCustomer;
+    }
+    if (ofCustomer.isEmpty()) {
+      return route.homeRegions();
+    }
+    Set<RegionId> both = new HashSet<>(route.homeRegions());
+    both.retainAll(ofCustomer);
+    return both.isEmpty() ? Set.of(NO_REGION) : both;
+  }
+
+  private static final RegionId NO_REGION = new RegionId("none.of.both");
+
+  private String objectOf(HttpMessage request) {
+    String prefix = names.objectCookie() + "=";
+    for (String cookie : request.field("Cookie").orElse("").split(";")) {
+      String text = cookie.strip();
+      if (text.startsWith(prefix)) {
+        return text.substring(prefix.length());
+      }
+    }
+    return "";
+  }
+
+  private long patienceNanos(HttpMessage request, RouteRule route) {
+    String millis = request.field(names.deadlineMillis()).orElse("");
+    return millis.matches("[0-9]{1,9}")
+        ? TimeUnit.MILLISECONDS.toNanos(Long.parseLong(millis))
+        : route.timeout().toNanos();
+  }
+
+  void learnLoad(ServerState server, HttpMessage answer, long now) {
+    String[] parts = answer.field(names.serverLoad()).orElse("").split(",");
+    if (parts.length >= 2) {
+      try {
+        int load = Integer.parseInt(parts[0].strip()) + Integer.parseInt(parts[1].strip());
+        server.loadTold(load, now);
+      } catch (NumberFormatException e) {
+        log.event(
+            "load-unreadable",
+            "server",
+            server.announced().id(),
+            "value",
+            String.join(",", List.of(parts)));
+      }
+    }
+  }
+
+  void countTrial(RequestRun run, ServerState server, boolean good) {
+    if (!server.isCold(now())) {
+      state.countTrial(
+          run.service(),
+          run.route().name(),
+          server.announced().id(),
+          good,
+          server.announced().version());
+    }
+  }
+
+  void running(RequestRun run) {
+    running.add(run);
+  }
+
+  void ended(RequestRun run) {
+    running.remove(run);
+  }
+
+  void finished(RequestRun run, int status, long millis) {
+    metrics.finished(
+        run.route().name(),
+        run.customer().map(CustomerRule::id).map(CustomerId::value).orElse("none"),
+        status,
+        millis);
+  }
+
+  long rulesVersion() {
+    return state.rules().map(index -> index.rules().version()).orElse(0L);
+  }
+
+  private ListenerLimits listenerLimits() {
+    CallerLimits limits =
+        state.rules().map(index -> index.rules().limits()).orElse(CallerLimits.DEFAULT);
+    return new ListenerLimits(
+        limits.headBytes(), limits.bodyBytes(), limits.headTimeout(), limits.idleTimeout());
+  }
+
+  NioReactor reactor() {
+    return reactor;
+  }
+
+  HeaderNames names() {
+    return names;
+  }
+
+  ForwardedHeaders headers() {
+    return headers;
+  }
+
+  TrafficState state() {
+    return state;
+  }
+
+  ConnectionPool pool() {
+    return pool;
+  }
+
+  DecisionLog log() {
+    return log;
+  }
+
+  long now() {
+    return System.nanoTime();
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -0,0 +1,150 @@
+package org.toucanrack.internal.serve.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.coordination.steer.ColdGuard;
+import org.toucanrack.internal.coordination.steer.FleetFacts;
+import org.toucanrack.internal.coordination.steer.RateShares;
+import org.toucanrack.internal.coordination.steer.RetryAllowance;
+import org.toucanrack.internal.coordination.steer.RuleIndex;
+import org.toucanrack.internal.coordination.steer.ServerChooser;
+import org.toucanrack.internal.coordination.steer.ServerTable;
+import org.toucanrack.internal.coordination.steer.ServiceSplit;
+import org.toucanrack.internal.coordination.steer.TrialEvidence;
+import org.toucanrack.internal.coordination.steer.VersionTrial;
+import org.toucanrack.steering.CustomerRule;
+import org.toucanrack.steering.EntrySettings;
+import org.toucanrack.steering.RouteRule;
+import org.toucanrack.steering.SteeringRules;
+
+/**
+ * All that the traffic thread knows and counts. Confined to the traffic thread; the control thread
+ * hands over immutable facts.
+ */
+final class TrafficState {
+
+  private final EntrySettings settings;
+  private final ServerTable table;
+  private final ServerChooser chooser;
+  private final RateShares rates = new RateShares();
+  private final Map<String, ServiceSplit> splits = new HashMap<>();
+  private final Map<ServiceId, RetryAllowance> retries = new HashMap<>();
+  private final Map<EvidenceKey, TrialEvidence> evidence = new HashMap<>();
+  private FleetFacts facts = FleetFacts.NONE;
+  private ColdGuard.Peers peers = ColdGuard.Peers.NONE;
+  private Optional<RuleIndex> rules = Optional.empty();
+
+  /**
+   * Names the answers that are counted together.
+   *
+   * @param service the service on trial
+   * @param route the route of the requests
+   */
+  record EvidenceKey(ServiceId service, String route) {}
+
+  TrafficState(EntrySettings settings) {
+    this.settings = settings;
+    this.table = new ServerTable(settings.regions());
+    EntrySettings.Bounds bounds = settings.bounds();
+    ColdGuard guard =
+        new ColdGuard(
+            settings.vm(), settings.region(), bounds.coldOvershoot(), bounds.coldReserve());
+    this.chooser = new ServerChooser(table, guard, settings.region(), bounds.maxRegionShift());
+  }
+
+  Optional<RuleIndex> rules() {
+    return rules;
+  }
+
+  RateShares rates() {
+    return rates;
+  }
+
+  /** Takes over what the control thread published. */
+  void adopt(FleetFacts newest, long nowNanos) {
+    if (!newest.rules().equals(facts.rules())) {
+      rules = newest.rules().map(RuleIndex::new);
+    }
+    evidence.keySet().removeIf(key -> !sameTrial(facts.trials(), newest.trials(), key.service()));
+    facts = newest;
+    rules.ifPresent(index -> table.update(newest, index, nowNanos));
+  }
+
+  private static boolean sameTrial(
+      Map<ServiceId, VersionTrial> old, Map<ServiceId, VersionTrial> newest, ServiceId service) {
+    VersionTrial before = old.get(service);
+    VersionTrial now = newest.get(service);
+    return before != null && now != null && before.to().equals(now.to());
+  }
+
+  /** Takes over the other VMs and what they claim of the customers' rates. */
+  void adoptPeers(
+      ColdGuard.Peers newest, Map<CustomerId, List<RateShares.Claim>> claims, long nowNanos) {
+    peers = newest;
+    boolean isolated = newest.heard().isEmpty() && newest.unheard() > 0;
+    for (CustomerRule customer :
+        rules.map(RuleIndex::rules).map(SteeringRules::customers).orElse(List.of())) {
+      rates.rebalance(customer, claims.getOrDefault(customer.id(), List.of()), isolated, nowNanos);
+    }
+  }
+
+  /** Returns the service that the next request of a route goes to. */
+  ServiceId nextService(RouteRule route) {
+    return splits
+        .computeIfAbsent(route.name(), name -> new ServiceSplit())
+        .next(route.destinations());
+  }
+
+  ServerChooser.Choice choose(ServerChooser.Attempt attempt, long nowNanos) {
+    return chooser.choose(attempt, facts.trials(), peers, nowNanos);
+  }
+
+  RetryAllowance retries(ServiceId service) {
+    EntrySettings.Bounds bounds = settings.bounds();
+    return retries.computeIfAbsent(
+        service,
+        id -> new RetryAllowance(bounds.retryRatio(), bounds.retryReserve(), bounds.retryWindow()));
+  }
+
+  /** Returns the number of VMs that share what is bounded over all of them. */
+  int vms() {
+    return 1 + peers.heard().size() + peers.unheard();
+  }
+
+  /** Counts an answer of a service that has a version on trial. */
+  void countTrial(
+      ServiceId service,
+      String route,
+      BackendServerId server,
+      boolean good,
+      org.toucanrack.id.VersionId version) {
+    VersionTrial trial = facts.trials().get(service);
+    if (trial != null) {
+      evidence.merge(
+          new EvidenceKey(service, route),
+          TrialEvidence.NONE.count(version.equals(trial.to()), good),
+          TrialEvidence::plus);
+    }
+  }
+
+  /** Returns a copy of the evidence of all trials. */
+  Map<EvidenceKey, TrialEvidence> evidence() {
+    return Map.copyOf(evidence);
+  }
+
+  /** Returns a copy of what this VM claims of each customer's rate. */
+  Map<CustomerId, RateShares.Claim> claims() {
+    Map<CustomerId, RateShares.Claim> claims = new HashMap<>();
+    rules.ifPresent(
+        index ->
+            index.rules().customers().stream()
+                .filter(CustomerRule::isLimited)
+                .forEach(customer -> claims.put(customer.id(), rates.claim(customer.id()))));
+    return claims;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
@@ -0,0 +1,240 @@
+package org.toucanrack.internal.transport.relay;
+
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import jdk.net.ExtendedSocketOptions;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.internal.transport.relay.AnswerListener.CallFailure;
+
+/**
+ * Connections to servers, one call at a time on each, kept for reuse.
+ *
+ * <p>Invariant: a connection is reused only after a complete answer with nothing behind it and
+ * before the server may close it. Confined to one event loop.
+ */
+public final class ConnectionPool {
+
+  /** Packets are sent at once, since a call is one write. */
+  private static final SocketSettings SOCKET =
+      SocketSettings.builder().withTcpNoDelay(true).withKeepAlive(true).build();
+
+  /** Idle time after which a connection is not reused if the server states none. */
+  private static final long DEFAULT_IDLE_MS = 4000;
+
+  /** Distance kept from the server's own idle timeout: a request may cross its close. */
+  private static final long IDLE_MARGIN_MS = 1000;
+
+  private static final long SWEEP_INTERVAL_MS = 1000;
+
+  /** A silent connection is found within about three seconds, before callers' deadlines. */
+  private static final int PROBE_AFTER_S = 1;
+
+  private static final int PROBE_INTERVAL_S = 1;
+  private static final int PROBES = 2;
+
+  private static final Logger LOGGER = System.getLogger(ConnectionPool.class.getName());
+
+  private final NioReactor reactor;
+  private final int maxAnswerHeadBytes;
+  private final long maxAnswerBytes;
+  private final Map<InetSocketAddress, Deque<PooledConnection>> idle = new HashMap<>();
+  private long opened;
+
+  /** Creates a pool that accepts answers up to these sizes. */
+  public ConnectionPool(NioReactor reactor, int maxAnswerHeadBytes, long maxAnswerBytes) {
+    this.reactor = reactor;
+    this.maxAnswerHeadBytes = maxAnswerHeadBytes;
+    this.maxAnswerBytes = maxAnswerBytes;
+    sweepLater();
+  }
+
+  /** Returns the number of connections opened so far. */
+  public long opened() {
+    return opened;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param marker the field that an answer has to repeat, or null if any answer is taken
+   */
+  public Call send(
+      InetSocketAddress address,
+      byte[] request,
+      AnswerMarker marker,
+      Duration connectTimeout,
+      AnswerListener listener) {
+    Call call = new Call(listener);
+    PooledConnection connection = takeIdle(address);
+    if (connection != null) {
+      call.connection = connection;
+      connection.exchange(request, marker, call);
+      return call;
+    }
+    opened++;
+    TcpSocket.connect(reactor, address, connectTimeout, SOCKET)
+        .subscribe((socket, failure) -> connected(call, address, request, marker, socket, failure));
+    return call;
+  }
+
+  /** Closes idle connections to a server that is gone or silent. */
+  public void dropIdle(InetSocketAddress address) {
+    Deque<PooledConnection> connections = idle.remove(address);
+    if (connections != null) {
+      new ArrayList<>(connections).forEach(PooledConnection::close);
+    }
+  }
+
+  /** Closes all idle connections. */
+  public void close() {
+    new ArrayList<>(idle.keySet()).forEach(this::dropIdle);
+  }
+
+  private void connected(
+      Call call,
+      InetSocketAddress address,
+      byte[] request,
+      AnswerMarker marker,
+      TcpSocket socket,
+      Exception failure) {
+    if (failure != null) {
+      call.fail(CallFailure.NOT_SENT, "connect: " + failure.getMessage());
+      return;
+    }
+    detectSilence(socket);
+    PooledConnection connection =
+        new PooledConnection(this, address, socket, maxAnswerHeadBytes, maxAnswerBytes);
+    connection.start();
+    if (call.ended) {
+      keep(connection, DEFAULT_IDLE_MS);
+      return;
+    }
+    call.connection = connection;
+    connection.exchange(request, marker, call);
+  }
+
+  /** A connection can go silent without a reset; probes end it soon instead of after hours. */
+  private static void detectSilence(TcpSocket socket) {
+    try {
+      socket
+          .getSocketChannel()
+          .setOption(ExtendedSocketOptions.TCP_KEEPIDLE, PROBE_AFTER_S)
+          .setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, PROBE_INTERVAL_S)
+          .setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES);
+    } catch (IOException | UnsupportedOperationException e) {
+      LOGGER.log(Level.WARNING, "[pool] Keep-alive probes cannot be set: {0}.", e.getMessage());
+    }
+  }
+
+  private PooledConnection takeIdle(InetSocketAddress address) {
+    Deque<PooledConnection> connections = idle.get(address);
+    long now = nowMillis();
+    while (connections != null && !connections.isEmpty()) {
+      PooledConnection connection = connections.pollFirst();
+      if (connection.isUsable(now)) {
+        return connection;
+      }
+      connection.close();
+    }
+    return null;
+  }
+
+  void keep(PooledConnection connection, long serverIdleMillis) {
+    long usable = serverIdleMillis - IDLE_MARGIN_MS;
+    if (usable <= 0) {
+      connection.close();
+      return;
+    }
+    connection.usableUntil(nowMillis() + usable);
+    idle.computeIfAbsent(connection.address(), key -> new ArrayDeque<>()).addFirst(connection);
+  }
+
+  void keep(PooledConnection connection) {
+    keep(connection, DEFAULT_IDLE_MS);
+  }
+
+  void forget(PooledConnection connection) {
+    Deque<PooledConnection> connections = idle.get(connection.address());
+    if (connections != null) {
+      connections.remove(connection);
+      if (connections.isEmpty()) {
+        idle.remove(connection.address());
+      }
+    }
+  }
+
+  private static long nowMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private void sweepLater() {
+    reactor.delayBackground(
+        SWEEP_INTERVAL_MS,
+        () -> {
+          long now = nowMillis();
+          for (Deque<PooledConnection> connections : new ArrayList<>(idle.values())) {
+            for (PooledConnection connection : new ArrayList<>(connections)) {
+              if (!connection.isUsable(now)) {
+                connection.close();
+              }
+            }
+          }
+          sweepLater();
+        });
+  }
+
+  /** One call. Confined to the pool's event loop. */
+  public static final class Call {
+
+    private final AnswerListener listener;
+    private PooledConnection connection;
+    private boolean ended;
+
+    private Call(AnswerListener listener) {
+      this.listener = listener;
+    }
+
+    /** Gives the call up; its connection is closed, which stops the server's work. */
+    public void cancel() {
+      if (!ended) {
+        ended = true;
+        if (connection != null) {
+          connection.close();
+        }
+      }
+    }
+
+    void answer(HttpMessage answer) {
+      if (!ended) {
+        ended = true;
+        listener.answered(answer);
+      }
+    }
+
+    void fail(CallFailure failure, String reason) {
+      if (!ended) {
+        ended = true;
+        listener.failed(failure, reason);
+      }
+    }
+  }
+
+  /**
+   * A field by which an answer is recognised.
+   *
+   * @param field the name of the field
+   * @param value the value that it has in the right answer
+   */
+  public record AnswerMarker(String field, String value) {}
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/DatagramLink.java
@@ -0,0 +1,86 @@
+package org.toucanrack.internal.transport.relay;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.udp.UdpPacket;
+import io.activej.net.socket.udp.UdpSocket;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.DatagramChannel;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+
+/** Sends and receives datagrams at one address. Confined to one event loop. */
+public final class DatagramLink {
+
+  private final UdpSocket socket;
+  private final BiConsumer<byte[], InetSocketAddress> receiver;
+  private final Consumer<Exception> faults;
+  private boolean closed;
+
+  private DatagramLink(
+      UdpSocket socket,
+      BiConsumer<byte[], InetSocketAddress> receiver,
+      Consumer<Exception> faults) {
+    this.socket = socket;
+    this.receiver = receiver;
+    this.faults = faults;
+  }
+
+  /**
+   * Opens a link.
+   *
+   * @param receiver gets the bytes and the sender of each datagram
+   * @param faults gets what goes wrong; the link goes on
+   */
+  public static DatagramLink open(
+      NioReactor reactor,
+      InetSocketAddress address,
+      BiConsumer<byte[], InetSocketAddress> receiver,
+      Consumer<Exception> faults) {
+    try {
+      DatagramChannel channel = DatagramChannel.open();
+      channel.configureBlocking(false);
+      channel.bind(address);
+      UdpSocket[] opened = new UdpSocket[1];
+      UdpSocket.connect(reactor, channel).whenResult(socket -> opened[0] = socket);
+      DatagramLink link = new DatagramLink(opened[0], receiver, faults);
+      link.receiveNext();
+      return link;
+    } catch (IOException e) {
+      throw new ToucanrackException(
+          ErrorCode.INVALID_SETTINGS, "cannot listen on UDP " + address + ": " + e.getMessage(), e);
+    }
+  }
+
+  /** Sends a datagram; it may be lost. */
+  public void send(byte[] bytes, InetSocketAddress to) {
+    socket.send(UdpPacket.of(ByteBuf.wrapForReading(bytes), to)).whenException(faults::accept);
+  }
+
+  /** Ends the link. */
+  public void close() {
+    closed = true;
+    socket.close();
+  }
+
+  private void receiveNext() {
+    socket
+        .receive()
+        .subscribe(
+            (packet, failure) -> {
+              if (closed) {
+                return;
+              }
+              if (failure != null) {
+                faults.accept(failure);
+              } else {
+                byte[] bytes = packet.getBuf().asArray();
+                receiver.accept(bytes, packet.getSocketAddress());
+              }
+              receiveNext();
+            });
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
@@ -0,0 +1,117 @@
+package org.toucanrack.internal.transport.relay;
+
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.toucanrack.ErrorCode;
+import org.toucanrack.ToucanrackException;
+
+/**
+ * Accepts connections at one address and hands their requests to a handler. Confined to one event
+ * loop.
+ */
+public final class HttpListener {
+
+  /** How often slow and idle connections are looked for. */
+  private static final long SWEEP_INTERVAL_MS = 500;
+
+  private final NioReactor reactor;
+  private final InetSocketAddress address;
+  private final RequestHandler handler;
+  private final Supplier<ListenerLimits> limits;
+  private final Set<ServedConnection> connections = new HashSet<>();
+  private final SimpleServer server;
+  private boolean closing;
+
+  /** Creates a listener; the limits may change while it runs. */
+  public HttpListener(
+      NioReactor reactor,
+      InetSocketAddress address,
+      RequestHandler handler,
+      Supplier<ListenerLimits> limits) {
+    this.reactor = reactor;
+    this.address = address;
+    this.handler = handler;
+    this.limits = limits;
+    this.server = SimpleServer.builder(reactor, this::accepted).withListenAddress(address).build();
+  }
+
+  /** Starts to listen. */
+  public void listen() {
+    try {
+      server.listen();
+    } catch (IOException e) {
+      throw new ToucanrackException(
+          ErrorCode.INVALID_SETTINGS, "cannot listen on " + address + ": " + e.getMessage(), e);
+    }
+    sweepLater();
+  }
+
+  /** Ends connections after their next answer; idle ones are closed when the listener stops. */
+  public void closeConnectionsAfterAnswer() {
+    closing = true;
+  }
+
+  /** Returns the number of requests that are being received or handled. */
+  public int busyConnections() {
+    int busy = 0;
+    for (ServedConnection connection : connections) {
+      if (!connection.isIdle()) {
+        busy++;
+      }
+    }
+    return busy;
+  }
+
+  /** Stops listening and closes all connections. */
+  public void close() {
+    server.close();
+    for (ServedConnection connection : new ArrayList<>(connections)) {
+      connection.close();
+    }
+  }
+
+  ListenerLimits limits() {
+    return limits.get();
+  }
+
+  RequestHandler handler() {
+    return handler;
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
+  long nowMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  void forget(ServedConnection connection) {
+    connections.remove(connection);
+  }
+
+  private void accepted(ITcpSocket socket) {
+    ServedConnection connection = new ServedConnection(this, socket, nowMillis());
+    connections.add(connection);
+    connection.start();
+  }
+
+  private void sweepLater() {
+    reactor.delayBackground(
+        SWEEP_INTERVAL_MS,
+        () -> {
+          long now = nowMillis();
+          for (ServedConnection connection : new ArrayList<>(connections)) {
+            connection.enforceLimits(now);
+          }
+          sweepLater();
+        });
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/steering/FactDecoder.java
@@ -0,0 +1,39 @@
+package org.toucanrack.steering;
+
+import java.util.Optional;
+import org.toucanrack.id.FailureDomainId;
+
+/**
+ * Turns rows of the platform's store into what they mean. An empty result means that the row cannot
+ * be read, and that it is to be treated as absent. Implementations are thread-safe.
+ */
+public interface FactDecoder {
+
+  /** Decodes a row of {@link SharedTable#ORDERS}. */
+  Optional<Order> order(SharedRow row);
+
+  /** Decodes a row of {@link SharedTable#SERVERS}. */
+  Optional<AnnouncedServer> server(SharedRow row);
+
+  /** Returns the row under which the outcome of a rollout is reported. */
+  SharedRow.RowKey reportKey(RolloutOutcome outcome);
+
+  /** Encodes the report of a rollout. */
+  byte[] report(RolloutOutcome outcome);
+
+  /** Decodes a row of {@link SharedTable#REPORTS}. */
+  Optional<RolloutOutcome> report(SharedRow row);
+
+  /** Something that operators ask for. */
+  sealed interface Order {
+
+    /** The configuration. */
+    record Rules(SteeringRules rules) implements Order {}
+
+    /** A rollout. */
+    record Rollout(RolloutOrder order) implements Order {}
+
+    /** Nothing more is to be sent to the servers of a failure domain. */
+    record Evacuation(FailureDomainId failureDomain) implements Order {}
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/steering/RolloutOrder.java
@@ -0,0 +1,23 @@
+package org.toucanrack.steering;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+
+/**
+ * The order to move the traffic of a service to a version. Immutable and thread-safe.
+ *
+ * @param service the service
+ * @param to the version
+ * @param within the time from the order until the version has to carry the traffic
+ */
+public record RolloutOrder(ServiceId service, VersionId to, Duration within) {
+
+  /** Rejects missing parts. */
+  public RolloutOrder {
+    Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(to, "to");
+    Objects.requireNonNull(within, "within");
+  }
+}
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/steering/ServiceRule.java
@@ -0,0 +1,23 @@
+package org.toucanrack.steering;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.toucanrack.id.ServiceId;
+
+/**
+ * What holds for all servers of a service. Immutable and thread-safe.
+ *
+ * @param id the service
+ * @param maxConnections connections that one server accepts from all VMs together
+ * @param coldPeriod how long a server is cold after its start
+ * @param coldRequestsPerSecond what a cold server bears from all VMs together
+ */
+public record ServiceRule(
+    ServiceId id, int maxConnections, Duration coldPeriod, double coldRequestsPerSecond) {
+
+  /** Rejects missing parts. */
+  public ServiceRule {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(coldPeriod, "coldPeriod");
+  }
+}
