--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -18,21 +18,41 @@
  */
 public final class RateShares {
 
-  /** Part of the rate that is used; the rest covers shares that change hands. */
-  private static final double USED_RATE = 0.97;
+  /** Half of the allowed overshoot is used, since shares never fit the demand exactly. */
+  private static final double USED_OVERSHOOT = 0.4;
+
+  /** Part of the allowed excess in requests that is spread over the VMs as extra burst. */
+  private static final double USED_RESERVE = 0.7;
 
   /** Share of a VM that has heard no other one since its start. */
   private static final double FIRST_SHARE = 0.05;
 
   /** Demand that each VM counts as having, so that a first request is not refused. */
-  private static final double BASE_DEMAND = 0.3;
+  private static final double BASE_DEMAND = 0.2;
+
+  /** Part of the mean demand that each VM counts as having, against noise in small numbers. */
+  private static final double MEAN_PART = 0.3;
 
   /** Memory of the demand. */
-  private static final double DEMAND_MEMORY_SECONDS = 1.0;
+  private static final double DEMAND_MEMORY_SECONDS = 2.0;
 
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final Map<CustomerId, Account> accounts = new HashMap<>();
+  private final double overshoot;
+  private final double reserve;
+  private int vms = 1;
+
+  /**
+   * Creates shares without customers.
+   *
+   * @param overshoot factor by which a customer may exceed its rate and burst, less 1
+   * @param reserve requests beyond that, over all VMs
+   */
+  public RateShares(double overshoot, double reserve) {
+    this.overshoot = overshoot;
+    this.reserve = reserve;
+  }
 
   /**
    * What a VM told of one customer.
@@ -88,14 +108,15 @@
       CustomerRule customer, Collection<Claim> others, boolean isolated, long nowNanos) {
     Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
     refill(account, customer, nowNanos);
+    vms = others.size() + 1;
     double claimed = 0;
-    double demand = account.demand + BASE_DEMAND;
-    double total = demand;
+    double total = account.demand;
     for (Claim other : others) {
       claimed += other.share();
-      total += other.demand() + BASE_DEMAND;
+      total += other.demand();
     }
-    double target = demand / total;
+    double base = BASE_DEMAND + MEAN_PART * total / vms;
+    double target = (account.demand + base) / (total + vms * base);
     if (isolated) {
       account.share = Math.min(account.share, isolatedShare(others.size() + 1));
     } else {
@@ -115,11 +136,11 @@
     return account == null ? new Claim(FIRST_SHARE, 0) : new Claim(account.share, account.demand);
   }
 
-  private static double capacity(Account account, CustomerRule customer) {
-    return Math.max(1, account.share * customer.burst());
+  private double capacity(Account account, CustomerRule customer) {
+    return Math.max(1, account.share * customer.burst() + USED_RESERVE * reserve / vms);
   }
 
-  private static void refill(Account account, CustomerRule customer, long nowNanos) {
+  private void refill(Account account, CustomerRule customer, long nowNanos) {
     if (!account.started) {
       account.started = true;
       account.refilledNanos = nowNanos;
@@ -129,7 +150,8 @@
     double seconds = Math.max(0, nowNanos - account.refilledNanos) / NANOS_PER_SECOND;
     account.refilledNanos = nowNanos;
     account.demand *= Math.exp(-seconds / DEMAND_MEMORY_SECONDS);
-    double rate = account.share * customer.requestsPerSecond() * USED_RATE;
+    double rate =
+        account.share * customer.requestsPerSecond() * (1 + USED_OVERSHOOT * overshoot);
     account.tokens = Math.min(capacity(account, customer), account.tokens + seconds * rate);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RegionSpill.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RegionSpill.java
@@ -17,9 +17,11 @@
   private static final double HIGH_PRESSURE = 0.85;
   private static final double LOW_PRESSURE = 0.6;
 
+  /** Makes the choice of objects that leave independent of the choice of their servers. */
+  private static final long SALT = 0x5deece66dL;
+
   private final double changePerSecond;
   private double share;
-  private double debt;
   private long updatedNanos;
   private boolean started;
 
@@ -45,14 +47,12 @@
     }
   }
 
-  /** Returns whether the next request leaves the region. */
-  public boolean nextLeaves() {
-    debt += share;
-    if (debt >= 1) {
-      debt -= 1;
-      return true;
-    }
-    return false;
+  /**
+   * Returns whether requests about an object leave the region. While the share grows, objects that
+   * already left stay away, so that their servers remember them.
+   */
+  public boolean leaves(long object) {
+    return Spread.score(object, SALT) / (double) Long.MAX_VALUE < share;
   }
 
   /** Returns the share of requests that leave the region. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
@@ -29,6 +29,9 @@
   /** A server this many times slower than the others is used only if no other one has room. */
   private static final double SLOW_FACTOR = 2.5;
 
+  /** Longest wait at the first server of an object, as a part of the objective. */
+  private static final double MAX_WAIT = 0.35;
+
   /** Share of requests that may leave the region at once when no server of it has room. */
   private static final double FALLBACK_SHARE = 0.04;
 
@@ -155,7 +158,7 @@
     RegionSpill spill =
         spills.computeIfAbsent(attempt.service(), id -> new RegionSpill(maxRegionShift));
     spill.update(pressure(own, nowNanos), nowNanos);
-    if (spill.nextLeaves()) {
+    if (spill.leaves(Spread.hash(attempt.object()))) {
       Choice choice = pick(attempt, others, "spill", nowNanos);
       return choice instanceof Choice.Use ? choice : pick(attempt, own, "own-region", nowNanos);
     }
@@ -189,15 +192,35 @@
         Comparator.comparingLong((ServerState server) -> Spread.score(object, server.hash()))
             .reversed());
     double usualService = usualServiceNanos(ranked);
+    boolean first = true;
     for (ServerState server : ranked) {
       boolean healthy =
           server.faultRate() < FAULTY
               && (usualService == 0 || server.serviceNanos() < SLOW_FACTOR * usualService);
-      if (healthy && server.load(nowNanos) < server.announced().slots()) {
-        return new Choice.Use(server, reason);
+      if (healthy && hasRoom(attempt, server, object, first, nowNanos)) {
+        return use(server, reason, object, nowNanos);
       }
+      first &= !healthy;
+    }
+    return leastLoaded(attempt, ranked, reason, object, nowNanos);
+  }
+
+  /**
+   * The first server of an object may let it wait for a while, since that is quicker than a server
+   * which does not know the object; another one that knows it is used if it has a free slot.
+   */
+  private static boolean hasRoom(
+      Attempt attempt, ServerState server, long object, boolean first, long nowNanos) {
+    if (first) {
+      return server.waitNanos(nowNanos) <= MAX_WAIT * attempt.objectiveNanos();
     }
-    return leastLoaded(attempt, ranked, reason, nowNanos);
+    return server.remembers(object, nowNanos)
+        && server.load(nowNanos) < server.announced().slots();
+  }
+
+  private static Choice use(ServerState server, String reason, long object, long nowNanos) {
+    server.handled(object, nowNanos);
+    return new Choice.Use(server, reason);
   }
 
   private static double usualServiceNanos(List<ServerState> servers) {
@@ -211,7 +234,7 @@
   }
 
   private Choice leastLoaded(
-      Attempt attempt, List<ServerState> servers, String reason, long nowNanos) {
+      Attempt attempt, List<ServerState> servers, String reason, long object, long nowNanos) {
     int priority = Math.min(Math.max(0, attempt.priority()), WAITING_BY_PRIORITY.length - 1);
     double most = 1 + WAITING_BY_PRIORITY[priority];
     ServerState best = null;
@@ -225,6 +248,6 @@
         bestCost = cost;
       }
     }
-    return best == null ? new Choice.None("full") : new Choice.Use(best, reason + "-waiting");
+    return best == null ? new Choice.None("full") : use(best, reason + "-least-loaded", object, nowNanos);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerState.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.toucanrack.id.RegionId;
 import org.toucanrack.steering.AnnouncedServer;
@@ -29,11 +31,26 @@
   /** Failures in a row after which a server is paused. */
   private static final int FAILURES_UNTIL_PAUSE = 3;
 
+  /** A server that got nothing about an object for this long has probably forgotten it. */
+  private static final long OBJECT_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(12);
+
+  /** Objects that are remembered for each server. */
+  private static final int MAX_OBJECTS = 256;
+
   private AnnouncedServer announced;
   private final RegionId region;
   private final long hash;
   private final ArrayDeque<Long> running = new ArrayDeque<>();
   private final SlidingCount coldSends = new SlidingCount(TimeUnit.MILLISECONDS.toNanos(1100));
+  private final Map<Long, Long> objects =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+          return size() > MAX_OBJECTS;
+        }
+      };
   private double foreignLoad;
   private long foreignLoadAtNanos;
   private double serviceNanos;
@@ -161,6 +178,23 @@
     return serviceNanos;
   }
 
+  /** Notes that the server handled an object. */
+  void handled(long object, long nowNanos) {
+    objects.put(object, nowNanos);
+  }
+
+  /** Returns whether the server handled an object lately, as far as this VM knows. */
+  boolean remembers(long object, long nowNanos) {
+    Long handled = objects.get(object);
+    return handled != null && nowNanos - handled < OBJECT_MEMORY_NANOS;
+  }
+
+  /** Returns the estimated time until the server starts with one more request. */
+  double waitNanos(long nowNanos) {
+    int slots = announced.slots();
+    return Math.max(0, load(nowNanos) + 1 - slots) / slots * serviceNanos;
+  }
+
   /** Returns whether the server is paused after failures or for lack of room. */
   public boolean isPaused(long nowNanos) {
     return nowNanos < pausedUntilNanos;
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -44,8 +44,11 @@
   /** Time before the end of the grace in which a stopping process ends whatever still runs. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
-  /** A stopping VM serves at least this long, until callers have new answers to their look-ups. */
-  private static final Duration STOP_SERVES = Duration.ofMillis(3500);
+  /** A stopping VM serves this long, until most callers have new answers to their look-ups. */
+  private static final Duration STOP_SERVES = Duration.ofMillis(2800);
+
+  /** A stopping VM refuses requests at least this long, before its port is closed. */
+  private static final Duration STOP_REFUSES = Duration.ofMillis(700);
 
   private static final long STOP_POLL_MS = 50;
   private static final int MAX_STORE_HEAD_BYTES = 16 * 1024;
@@ -150,12 +153,17 @@
     controlLoop.execute(control::leave);
     onTraffic(() -> traffic.listener().closeConnectionsAfterAnswer());
     Duration most = settings.bounds().stopGrace().minus(STOP_MARGIN);
-    Duration least = STOP_SERVES.compareTo(most) < 0 ? STOP_SERVES : most;
+    Duration least = STOP_SERVES.plus(STOP_REFUSES);
+    while (elapsed(startNanos).compareTo(STOP_SERVES) < 0) {
+      pause();
+    }
+    onTraffic(traffic::refuseNewRequests);
     while (elapsed(startNanos).compareTo(most) < 0
         && (elapsed(startNanos).compareTo(least) < 0 || busy() > 0)) {
       pause();
     }
     controlLoop.execute(control::close);
+    onTraffic(() -> traffic.listener().close());
     log.event("stopped", "after_ms", elapsed(startNanos).toMillis(), "running", busy());
     log.close();
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
@@ -297,6 +297,7 @@
   /** Refuses a request that has not run; one whose earlier attempt may have run gets no promise. */
   private void refuse(String why) {
     if (!mayHaveRun) {
+      customer.ifPresent(payer -> side.state().rates().giveBack(payer));
       finish(why, OwnAnswers.notRun(UNAVAILABLE, retryAfter()));
     } else {
       finish(why, failureAnswer == null ? OwnAnswers.plain(BAD_GATEWAY) : failureAnswer);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -20,6 +20,9 @@
   /** How long the store may hold a call without changes; calls are priced, so long. */
   private static final Duration WAIT = Duration.ofSeconds(20);
 
+  /** Servers announce themselves in groups; one call then tells several of them. */
+  private static final long SERVERS_PAUSE_MS = 250;
+
   private static final long FIRST_PAUSE_MS = 80;
   private static final long LONGEST_PAUSE_MS = 1000;
 
@@ -119,7 +122,11 @@
   private void reached(long mine) {
     pauseMillis = FIRST_PAUSE_MS;
     listener.reached(table);
-    next(mine);
+    if (table == SharedTable.SERVERS) {
+      later(mine, SERVERS_PAUSE_MS);
+    } else {
+      next(mine);
+    }
   }
 
   private void missed(long mine, StoreAnswer<SharedStore.Rows> answer) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -37,6 +37,9 @@
   /** Pause of callers while this VM has no configuration: about one read of the store. */
   private static final Duration UNCONFIGURED_PAUSE = Duration.ofMillis(300);
 
+  /** Pause of callers that reach a stopping VM: they use another one at once. */
+  private static final Duration STOPPING_PAUSE = Duration.ofMillis(20);
+
   private static final String BEARER = "Bearer ";
   private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
@@ -52,6 +55,7 @@
   private final EntryMetrics metrics;
   private final HttpListener listener;
   private final Set<RequestRun> running = new HashSet<>();
+  private boolean refusing;
 
   TrafficSide(
       NioReactor reactor,
@@ -74,6 +78,11 @@
     listener.listen();
   }
 
+  /** Refuses requests from now on, since the process ends before they could be answered. */
+  void refuseNewRequests() {
+    refusing = true;
+  }
+
   HttpListener listener() {
     return listener;
   }
@@ -87,6 +96,10 @@
     long now = now();
     Optional<RuleIndex> rules = state.rules();
     String requestId = request.field(names.requestId()).orElse("-");
+    if (refusing) {
+      refuse(exchange, requestId, "stopping", UNAVAILABLE, STOPPING_PAUSE);
+      return;
+    }
     if (rules.isEmpty()) {
       refuse(exchange, requestId, "no-configuration", UNAVAILABLE, UNCONFIGURED_PAUSE);
       return;
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -31,7 +31,7 @@
   private final EntrySettings settings;
   private final ServerTable table;
   private final ServerChooser chooser;
-  private final RateShares rates = new RateShares();
+  private final RateShares rates;
   private final Map<String, ServiceSplit> splits = new HashMap<>();
   private final Map<ServiceId, RetryAllowance> retries = new HashMap<>();
   private final Map<EvidenceKey, TrialEvidence> evidence = new HashMap<>();
@@ -51,6 +51,7 @@
     this.settings = settings;
     this.table = new ServerTable(settings.regions());
     EntrySettings.Bounds bounds = settings.bounds();
+    this.rates = new RateShares(bounds.rateOvershoot(), bounds.rateReserve());
     ColdGuard guard =
         new ColdGuard(
             settings.vm(), settings.region(), bounds.coldOvershoot(), bounds.coldReserve());
