--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RegionSpill.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RegionSpill.java
@@ -25,8 +25,13 @@
   private long updatedNanos;
   private boolean started;
 
-  /** Creates a share of 0 that may change by {@code maxShift} within two seconds. */
-  public RegionSpill(double maxShift) {
+  /**
+   * Creates a share that may change by {@code maxShift} within two seconds.
+   *
+   * @param share the first share, for a region with fewer servers than its part of the requests
+   */
+  public RegionSpill(double maxShift, double share) {
+    this.share = share;
     this.changePerSecond = USED_CHANGE * maxShift / WINDOW_SECONDS;
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
@@ -47,18 +47,24 @@
   private final ServerTable table;
   private final ColdGuard coldGuard;
   private final RegionId region;
+  private final int regionCount;
   private final double maxRegionShift;
   private final Map<ServiceId, RegionSpill> spills = new HashMap<>();
   private final Map<ServiceId, Double> trialDebts = new HashMap<>();
   private final SlidingCount requests = new SlidingCount(FALLBACK_WINDOW_NANOS);
   private final SlidingCount fallbacks = new SlidingCount(FALLBACK_WINDOW_NANOS);
 
-  /** Creates a chooser for a VM in {@code region}. */
+  /** Creates a chooser for a VM in {@code region}, one of {@code regionCount}. */
   public ServerChooser(
-      ServerTable table, ColdGuard coldGuard, RegionId region, double maxRegionShift) {
+      ServerTable table,
+      ColdGuard coldGuard,
+      RegionId region,
+      int regionCount,
+      double maxRegionShift) {
     this.table = table;
     this.coldGuard = coldGuard;
     this.region = region;
+    this.regionCount = regionCount;
     this.maxRegionShift = maxRegionShift;
   }
 
@@ -156,7 +162,8 @@
       return pick(attempt, own, "own-region", nowNanos);
     }
     RegionSpill spill =
-        spills.computeIfAbsent(attempt.service(), id -> new RegionSpill(maxRegionShift));
+        spills.computeIfAbsent(
+            attempt.service(), id -> new RegionSpill(maxRegionShift, firstShare(own, others)));
     spill.update(pressure(own, nowNanos), nowNanos);
     if (spill.leaves(Spread.hash(attempt.object()))) {
       Choice choice = pick(attempt, others, "spill", nowNanos);
@@ -170,6 +177,17 @@
     return choice;
   }
 
+  /** Objects are cold at first, so a region with few slots sends away what exceeds its part. */
+  private double firstShare(List<ServerState> own, List<ServerState> others) {
+    double ownSlots = slots(own);
+    double fairSlots = (ownSlots + slots(others)) / regionCount;
+    return Math.max(0, 1 - ownSlots / fairSlots);
+  }
+
+  private static double slots(List<ServerState> servers) {
+    return servers.stream().mapToInt(server -> server.announced().slots()).sum();
+  }
+
   private boolean mayFallBack(Attempt attempt, long nowNanos) {
     return !attempt.tried().isEmpty()
         || fallbacks.count(nowNanos) < 1 + FALLBACK_SHARE * requests.count(nowNanos);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -1,6 +1,7 @@
 package org.toucanrack.internal.serve.entry;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,7 +56,12 @@
     ColdGuard guard =
         new ColdGuard(
             settings.vm(), settings.region(), bounds.coldOvershoot(), bounds.coldReserve());
-    this.chooser = new ServerChooser(table, guard, settings.region(), bounds.maxRegionShift());
+    this.chooser = new ServerChooser(
+            table,
+            guard,
+            settings.region(),
+            new HashSet<>(settings.regions().values()).size(),
+            bounds.maxRegionShift());
   }
 
   Optional<RuleIndex> rules() {
