Judge failures and slow answers of a new version apart; the first conclusion in the store is final

The version was called faulty since its servers knew no objects and 21% of its answers were late at the move. Change: evidence counts failed and slow answers apart, slow ones need a majority; the share grows over three seconds; a conclusion in the store is taken over and never overwritten.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -31,10 +31,13 @@
   private static final double BASE_DEMAND = 0.2;
 
   /** Part of the mean demand that each VM counts as having, against noise in small numbers. */
-  private static final double MEAN_PART = 0.3;
+  private static final double MEAN_PART = 1.0;
+
+  /** A share is not lowered for less than this, since what is given up is slow to come back. */
+  private static final double KEPT_PART = 0.8;
 
   /** Memory of the demand. */
-  private static final double DEMAND_MEMORY_SECONDS = 2.0;
+  private static final double DEMAND_MEMORY_SECONDS = 4.0;
 
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
@@ -120,7 +123,9 @@
     if (isolated) {
       account.share = Math.min(account.share, isolatedShare(others.size() + 1));
     } else {
-      account.share = Math.max(0, Math.min(target, 1 - claimed));
+      boolean keeps = target < account.share && target > KEPT_PART * account.share;
+      double wanted = keeps ? account.share : target;
+      account.share = Math.max(0, Math.min(wanted, 1 - claimed));
     }
     account.tokens = Math.min(account.tokens, capacity(account, customer));
   }
@@ -150,8 +155,7 @@
     double seconds = Math.max(0, nowNanos - account.refilledNanos) / NANOS_PER_SECOND;
     account.refilledNanos = nowNanos;
     account.demand *= Math.exp(-seconds / DEMAND_MEMORY_SECONDS);
-    double rate =
-        account.share * customer.requestsPerSecond() * (1 + USED_OVERSHOOT * overshoot);
+    double rate = account.share * customer.requestsPerSecond() * (1 + USED_OVERSHOOT * overshoot);
     account.tokens = Math.min(capacity(account, customer), account.tokens + seconds * rate);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
@@ -12,7 +12,7 @@
  *
  * <p>The version on trial first gets a small share. Only near the end of the ordered time, when
  * faults had the time to show, it gets all requests; then the rollout is complete. At any time a
- * fault ends it. Invariant: a plan that was reverted never gives the version a share again. Not
+ * fault ends it. Where VMs conclude differently, the report that the store took first holds. Not
  * thread-safe.
  */
 public final class RolloutPlan {
@@ -20,16 +20,17 @@
   /** Part of the allowed share that a version on trial gets. */
   private static final double USED_SHARE = 0.75;
 
-  /** Time before the ordered end at which all requests move; in-flight ones end meanwhile. */
-  private static final long MOVE_BEFORE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(4500);
+  /** Time before the ordered end at which the share starts to grow. */
+  private static final long MOVE_BEFORE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(6500);
 
   /** Time before the ordered end at which the rollout is declared complete. */
   private static final long COMPLETE_BEFORE_END_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
 
-  /** How long a third of the requests is tried before all of them. */
-  private static final long FIRST_STEP_NANOS = TimeUnit.SECONDS.toNanos(1);
+  /** Time in which the share grows to 1, so that servers get to know the objects one by one. */
+  private static final long GROWTH_NANOS = TimeUnit.MILLISECONDS.toNanos(3000);
 
-  private static final double FIRST_STEP_SHARE = 0.33;
+  /** Time for requests at the servers before to end, before these are stopped. */
+  private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
   /** A trial lasts at least this part of the ordered time. */
   private static final double MIN_TRIAL_PART = 0.4;
@@ -72,9 +73,16 @@
     startedNanos = Math.min(startedNanos, nowNanos - nanos);
   }
 
-  /** Learns the reported phase, or what another VM concluded. */
-  public void learn(Phase reported) {
+  /** Learns what another VM concluded. */
+  public void learn(Phase concluded) {
     if (phase == Phase.RUNNING) {
+      phase = concluded;
+    }
+  }
+
+  /** Learns the phase that the store holds, which is final once it is not running. */
+  public void reported(Phase reported) {
+    if (reported != Phase.RUNNING) {
       phase = reported;
     }
   }
@@ -95,7 +103,9 @@
     if (sinceMove < 0) {
       return trialShare;
     }
-    return sinceMove < FIRST_STEP_NANOS ? FIRST_STEP_SHARE : 1;
+    // Steps of a tenth keep the number of published changes small.
+    double grown = Math.min(1, sinceMove / (double) GROWTH_NANOS);
+    return Math.min(1, Math.ceil(10 * (trialShare + grown * (1 - trialShare))) / 10);
   }
 
   private long moveAtNanos() {
@@ -104,7 +114,7 @@
   }
 
   private long completeAtNanos() {
-    long settled = moveAtNanos() + 2 * FIRST_STEP_NANOS;
+    long settled = moveAtNanos() + GROWTH_NANOS + SETTLE_NANOS;
     return Math.max(settled, order.within().toNanos() - COMPLETE_BEFORE_END_NANOS);
   }
 
@@ -124,7 +134,7 @@
     Map<String, TrialEvidence> before = samples.peekFirst().byRoute();
     for (Map.Entry<String, TrialEvidence> entry : byRoute.entrySet()) {
       TrialEvidence earlier = before.getOrDefault(entry.getKey(), TrialEvidence.NONE);
-      if (entry.getValue().showsFault() || entry.getValue().since(earlier).showsFault()) {
+      if (entry.getValue().showsFault() || entry.getValue().trialSince(earlier).showsFault()) {
         phase = Phase.REVERTED;
         return phase;
       }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
@@ -232,8 +232,7 @@
     if (first) {
       return server.waitNanos(nowNanos) <= MAX_WAIT * attempt.objectiveNanos();
     }
-    return server.remembers(object, nowNanos)
-        && server.load(nowNanos) < server.announced().slots();
+    return server.remembers(object, nowNanos) && server.load(nowNanos) < server.announced().slots();
   }
 
   private static Choice use(ServerState server, String reason, long object, long nowNanos) {
@@ -266,6 +265,8 @@
         bestCost = cost;
       }
     }
-    return best == null ? new Choice.None("full") : use(best, reason + "-least-loaded", object, nowNanos);
+    return best == null
+        ? new Choice.None("full")
+        : use(best, reason + "-least-loaded", object, nowNanos);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/TrialEvidence.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/TrialEvidence.java
@@ -3,62 +3,96 @@
 /**
  * Answers of a version on trial and of the version before it, on one route. Immutable.
  *
- * @param trialGood good answers of the version on trial
- * @param trialBad failed answers of the version on trial
- * @param stableGood good answers of the version before
- * @param stableBad failed answers of the version before
+ * @param trial answers of the version on trial
+ * @param stable answers of the version before
  */
-public record TrialEvidence(int trialGood, int trialBad, int stableGood, int stableBad) {
+public record TrialEvidence(Tally trial, Tally stable) {
 
   /** No answer was seen. */
-  public static final TrialEvidence NONE = new TrialEvidence(0, 0, 0, 0);
+  public static final TrialEvidence NONE = new TrialEvidence(Tally.NONE, Tally.NONE);
 
   /** Failed answers below which nothing is concluded. */
-  private static final int MIN_BAD = 5;
+  private static final int MIN_FAILED = 5;
 
   /** Share of failed answers below which a version is not called faulty. */
-  private static final double MIN_BAD_SHARE = 0.15;
+  private static final double MIN_FAILED_SHARE = 0.18;
 
-  /** How many times the failures of the version before are still normal. */
-  private static final double STABLE_FACTOR = 2.5;
+  /** Slow answers below which nothing is concluded. */
+  private static final int MIN_SLOW = 8;
 
-  private static final double STABLE_MARGIN = 0.08;
+  /** Servers that know no object yet are slow too, so only a majority counts. */
+  private static final double MIN_SLOW_SHARE = 0.55;
+
+  /** How many times the faults of the version before are still normal. */
+  private static final double STABLE_FACTOR = 2;
+
+  private static final double STABLE_MARGIN = 0.1;
+
+  /** What came of an attempt. */
+  public enum Result {
+    GOOD,
+    FAILED,
+    SLOW
+  }
+
+  /**
+   * Counted answers.
+   *
+   * @param good answers in time
+   * @param failed errors, spoiled and missing answers
+   * @param slow answers that came late or not at all before the timeout
+   */
+  public record Tally(int good, int failed, int slow) {
+
+    static final Tally NONE = new Tally(0, 0, 0);
+
+    Tally plus(Tally other) {
+      return new Tally(good + other.good, failed + other.failed, slow + other.slow);
+    }
+
+    Tally minus(Tally other) {
+      return new Tally(good - other.good, failed - other.failed, slow - other.slow);
+    }
+
+    private static Tally of(Result result) {
+      return new Tally(
+          result == Result.GOOD ? 1 : 0,
+          result == Result.FAILED ? 1 : 0,
+          result == Result.SLOW ? 1 : 0);
+    }
+
+    private double share(int part) {
+      int all = good + failed + slow;
+      return all == 0 ? 0 : part / (double) all;
+    }
+  }
 
   /** Returns the sum of both. */
   public TrialEvidence plus(TrialEvidence other) {
-    return new TrialEvidence(
-        trialGood + other.trialGood,
-        trialBad + other.trialBad,
-        stableGood + other.stableGood,
-        stableBad + other.stableBad);
+    return new TrialEvidence(trial.plus(other.trial), stable.plus(other.stable));
   }
 
-  /** Returns what was added since an earlier state. */
-  public TrialEvidence since(TrialEvidence earlier) {
-    return new TrialEvidence(
-        trialGood - earlier.trialGood,
-        trialBad - earlier.trialBad,
-        stableGood - earlier.stableGood,
-        stableBad - earlier.stableBad);
+  /** Returns the answers of the version on trial since an earlier state; all of the one before. */
+  public TrialEvidence trialSince(TrialEvidence earlier) {
+    return new TrialEvidence(trial.minus(earlier.trial), stable);
   }
 
-  /** Counts one answer. */
-  public TrialEvidence count(boolean onTrial, boolean good) {
-    return new TrialEvidence(
-        trialGood + (onTrial && good ? 1 : 0),
-        trialBad + (onTrial && !good ? 1 : 0),
-        stableGood + (!onTrial && good ? 1 : 0),
-        stableBad + (!onTrial && !good ? 1 : 0));
+  /** Returns the evidence of one attempt. */
+  public static TrialEvidence of(boolean onTrial, Result result) {
+    Tally one = Tally.of(result);
+    return onTrial ? new TrialEvidence(one, Tally.NONE) : new TrialEvidence(Tally.NONE, one);
   }
 
-  /** Returns whether the version on trial fails much more often than the one before. */
+  /** Returns whether the version on trial fails or is slow much more often than the one before. */
   public boolean showsFault() {
-    if (trialBad < MIN_BAD) {
-      return false;
-    }
-    double bad = trialBad / (double) (trialBad + trialGood);
-    int stable = stableGood + stableBad;
-    double usual = stable <= 0 ? 0 : stableBad / (double) stable;
-    return bad >= MIN_BAD_SHARE && bad > STABLE_FACTOR * usual + STABLE_MARGIN;
+    return exceeds(trial.failed, stable.failed, MIN_FAILED, MIN_FAILED_SHARE)
+        || exceeds(trial.slow, stable.slow, MIN_SLOW, MIN_SLOW_SHARE);
+  }
+
+  private boolean exceeds(int seen, int usual, int least, double leastShare) {
+    double share = trial.share(seen);
+    return seen >= least
+        && share >= leastShare
+        && share > STABLE_FACTOR * stable.share(usual) + STABLE_MARGIN;
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
@@ -15,6 +15,7 @@
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.internal.coordination.steer.ServerChooser;
 import org.toucanrack.internal.coordination.steer.ServerState;
+import org.toucanrack.internal.coordination.steer.TrialEvidence.Result;
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.internal.transport.relay.AnswerListener;
@@ -43,6 +44,9 @@
   /** Servers that could not be reached at all, after which the request is refused. */
   private static final int MAX_UNREACHED = 3;
 
+  /** An answer this many times later than its objective tells of a slow server. */
+  private static final double SLOW_FACTOR = 2;
+
   private static final int MISDIRECTED = 421;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int REQUEST_TIMEOUT = 408;
@@ -210,7 +214,7 @@
     }
     if (!isTrustworthy(answer)) {
       from.failed(sent, now, true, serviceRule.coldPeriod());
-      side.countTrial(this, from, false);
+      side.countTrial(this, from, Result.FAILED);
       retryOrFail("spoiled-answer-" + status);
       return;
     }
@@ -218,7 +222,7 @@
     mayHaveRun = true;
     boolean good = status < FIRST_SERVER_ERROR;
     from.answered(sent, now, good);
-    side.countTrial(this, from, good);
+    side.countTrial(this, from, resultOf(status, now - sent));
     if (!good && mayRetry(now)) {
       failureAnswer = side.headers().toCaller(answer);
       retry("server-error-" + status);
@@ -256,10 +260,20 @@
       }
       return;
     }
-    side.countTrial(this, from, false);
+    side.countTrial(this, from, Result.FAILED);
     retryOrFail(reason);
   }
 
+  private Result resultOf(int status, long tookNanos) {
+    if (status == GATEWAY_TIMEOUT) {
+      return Result.SLOW;
+    }
+    if (status >= FIRST_SERVER_ERROR) {
+      return Result.FAILED;
+    }
+    return tookNanos > SLOW_FACTOR * route.objective().toNanos() ? Result.SLOW : Result.GOOD;
+  }
+
   private boolean mayRetry(long now) {
     boolean allowed =
         lastVerdict == Verdict.RAN
@@ -318,7 +332,7 @@
     if (sends == 0) {
       refuse("timeout-unsent");
     } else {
-      side.countTrial(this, server, false);
+      side.countTrial(this, server, Result.SLOW);
       finish("timeout", OwnAnswers.plain(GATEWAY_TIMEOUT));
     }
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RolloutDesk.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RolloutDesk.java
@@ -10,6 +10,7 @@
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.internal.coordination.steer.RolloutPlan;
 import org.toucanrack.internal.coordination.steer.TrialEvidence;
+import org.toucanrack.internal.coordination.steer.TrialEvidence.Tally;
 import org.toucanrack.internal.coordination.steer.VersionTrial;
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
@@ -55,7 +56,9 @@
           reported.put(read.service(), read);
           RolloutPlan plan = plans.get(read.service());
           if (plan != null && plan.order().to().equals(read.to())) {
-            conclude(plan, read.phase(), "reported");
+            Phase before = plan.phase();
+            plan.reported(read.phase());
+            logChange(plan, before, "store");
           }
         });
   }
@@ -71,7 +74,7 @@
         plans.put(order.service(), fresh);
         RolloutOutcome known = reported.get(order.service());
         if (known != null && known.to().equals(order.to())) {
-          fresh.learn(known.phase());
+          fresh.reported(known.phase());
         }
       }
     }
@@ -132,10 +135,12 @@
           byRoute.merge(
               evidence.getRoute(),
               new TrialEvidence(
-                  evidence.getTrialGood(),
-                  evidence.getTrialBad(),
-                  evidence.getStableGood(),
-                  evidence.getStableBad()),
+                  new Tally(
+                      evidence.getTrialGood(), evidence.getTrialFailed(), evidence.getTrialSlow()),
+                  new Tally(
+                      evidence.getStableGood(),
+                      evidence.getStableFailed(),
+                      evidence.getStableSlow())),
               TrialEvidence::plus);
         }
       }
@@ -170,10 +175,12 @@
               heartbeat.addEvidence(
                   base.clone()
                       .setRoute(key.route())
-                      .setTrialGood(evidence.trialGood())
-                      .setTrialBad(evidence.trialBad())
-                      .setStableGood(evidence.stableGood())
-                      .setStableBad(evidence.stableBad()));
+                      .setTrialGood(evidence.trial().good())
+                      .setTrialFailed(evidence.trial().failed())
+                      .setTrialSlow(evidence.trial().slow())
+                      .setStableGood(evidence.stable().good())
+                      .setStableFailed(evidence.stable().failed())
+                      .setStableSlow(evidence.stable().slow()));
             }
           });
     }
@@ -183,13 +190,23 @@
   List<RolloutOutcome> unreported() {
     return plans.values().stream()
         .map(plan -> new RolloutOutcome(plan.order().service(), plan.order().to(), plan.phase()))
-        .filter(outcome -> !outcome.equals(reported.get(outcome.service())))
+        .filter(outcome -> isNews(outcome, reported.get(outcome.service())))
         .toList();
   }
 
+  /** The first conclusion in the store is final, since servers are stopped on it. */
+  private static boolean isNews(RolloutOutcome outcome, RolloutOutcome known) {
+    boolean sameRollout = known != null && known.to().equals(outcome.to());
+    return !sameRollout || (known.phase() == Phase.RUNNING && outcome.phase() != Phase.RUNNING);
+  }
+
   private void conclude(RolloutPlan plan, Phase phase, String source) {
     Phase before = plan.phase();
     plan.learn(phase);
+    logChange(plan, before, source);
+  }
+
+  private void logChange(RolloutPlan plan, Phase before, String source) {
     if (plan.phase() != before) {
       log.event(
           "rollout-concluded",
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -13,6 +13,7 @@
 import org.toucanrack.internal.coordination.steer.RateShares;
 import org.toucanrack.internal.coordination.steer.RuleIndex;
 import org.toucanrack.internal.coordination.steer.ServerState;
+import org.toucanrack.internal.coordination.steer.TrialEvidence;
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.internal.transport.relay.ConnectionPool;
@@ -232,14 +233,10 @@
     }
   }
 
-  void countTrial(RequestRun run, ServerState server, boolean good) {
+  /** A cold server tells nothing about its version. */
+  void countTrial(RequestRun run, ServerState server, TrialEvidence.Result result) {
     if (!server.isCold(now())) {
-      state.countTrial(
-          run.service(),
-          run.route().name(),
-          server.announced().id(),
-          good,
-          server.announced().version());
+      state.countTrial(run.service(), run.route().name(), server.announced().version(), result);
     }
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
 import org.toucanrack.internal.coordination.steer.ColdGuard;
 import org.toucanrack.internal.coordination.steer.FleetFacts;
 import org.toucanrack.internal.coordination.steer.RateShares;
@@ -56,7 +56,8 @@
     ColdGuard guard =
         new ColdGuard(
             settings.vm(), settings.region(), bounds.coldOvershoot(), bounds.coldReserve());
-    this.chooser = new ServerChooser(
+    this.chooser =
+        new ServerChooser(
             table,
             guard,
             settings.region(),
@@ -123,18 +124,13 @@
     return 1 + peers.heard().size() + peers.unheard();
   }
 
-  /** Counts an answer of a service that has a version on trial. */
-  void countTrial(
-      ServiceId service,
-      String route,
-      BackendServerId server,
-      boolean good,
-      org.toucanrack.id.VersionId version) {
+  /** Counts an attempt at a service that has a version on trial. */
+  void countTrial(ServiceId service, String route, VersionId version, TrialEvidence.Result result) {
     VersionTrial trial = facts.trials().get(service);
     if (trial != null) {
       evidence.merge(
           new EvidenceKey(service, route),
-          TrialEvidence.NONE.count(version.equals(trial.to()), good),
+          TrialEvidence.of(version.equals(trial.to()), result),
           TrialEvidence::plus);
     }
   }
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
@@ -0,0 +1,148 @@
+package org.toucanrack.internal.coordination.steer;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.steering.CustomerRule;
+
+class RateSharesTest {
+
+  private static final int VMS = 10;
+  private static final double RATE = 40;
+  private static final double BURST = 40;
+  private static final double OVERSHOOT = 0.1;
+  private static final double RESERVE = 20;
+  private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final CustomerId ID = new CustomerId("c");
+  private static final CustomerRule CUSTOMER =
+      new CustomerRule(ID, List.of("k"), 1, RATE, BURST, Set.of());
+
+  // Guards against a customer that gets more than its rate over all VMs, in any five seconds, while
+  // it asks for several times its rate, its callers move and heartbeats are lost.
+  @Property(tries = 40)
+  void allVmsTogetherStayWithinTheRate(@ForAll long seed) {
+    Random random = new Random(seed);
+    Fleet fleet = new Fleet();
+    List<Long> admitted = new ArrayList<>();
+    double[] demand = new double[VMS];
+    for (int step = 0; step < 3000; step++) {
+      long now = step * STEP_NANOS;
+      if (step % 500 == 0) {
+        for (int i = 0; i < VMS; i++) {
+          demand[i] = random.nextDouble() < 0.4 ? 0 : random.nextDouble() * 60;
+        }
+      }
+      for (int i = 0; i < VMS; i++) {
+        if (random.nextDouble() < demand[i] * STEP_NANOS / 1e9
+            && fleet.shares[i].admit(CUSTOMER, now).admitted()) {
+          admitted.add(now);
+        }
+      }
+      if (step % 25 == 0) {
+        fleet.rebalance(now);
+      }
+      if (step % 100 == 0) {
+        fleet.exchange(random, 0.2);
+      }
+    }
+
+    double bound = (RATE * 5 + BURST) * (1 + OVERSHOOT) + RESERVE;
+    int most = mostWithin(admitted, TimeUnit.SECONDS.toNanos(5));
+    assertTrue(most <= bound, most + " requests within 5 s, allowed are " + bound);
+  }
+
+  // Guards against requests refused although the customer is far below its rate.
+  @Test
+  void admitsNearlyAllBelowTheRate() {
+    Random random = new Random(1);
+    Fleet fleet = new Fleet();
+    int asked = 0;
+    int refused = 0;
+    for (int step = 0; step < 3000; step++) {
+      long now = step * STEP_NANOS;
+      for (int i = 0; i < VMS; i++) {
+        if (random.nextDouble() < RATE / 1.6 / VMS * STEP_NANOS / 1e9) {
+          asked++;
+          refused += fleet.shares[i].admit(CUSTOMER, now).admitted() ? 0 : 1;
+        }
+      }
+      if (step % 25 == 0) {
+        fleet.rebalance(now);
+      }
+      if (step % 100 == 0) {
+        fleet.exchange(random, 0);
+      }
+    }
+
+    assertTrue(refused < asked / 50, refused + " of " + asked + " refused");
+  }
+
+  // Guards against a VM behind a partition that goes on with a large share.
+  @Test
+  void aVmThatHearsNobodyLowersItsShare() {
+    RateShares shares = new RateShares(OVERSHOOT, RESERVE);
+    shares.rebalance(CUSTOMER, List.of(new RateShares.Claim(0, 0)), false, 0);
+    assertTrue(shares.claim(ID).share() > 0.4);
+
+    shares.rebalance(CUSTOMER, List.of(new RateShares.Claim(0, 0)), true, 1);
+
+    assertTrue(shares.claim(ID).share() <= RateShares.isolatedShare(2));
+  }
+
+  private static int mostWithin(List<Long> times, long windowNanos) {
+    int most = 0;
+    int start = 0;
+    for (int end = 0; end < times.size(); end++) {
+      while (times.get(end) - times.get(start) > windowNanos) {
+        start++;
+      }
+      most = Math.max(most, end - start + 1);
+    }
+    return most;
+  }
+
+  private static final class Fleet {
+
+    private final RateShares[] shares = new RateShares[VMS];
+    private final RateShares.Claim[][] known = new RateShares.Claim[VMS][VMS];
+
+    Fleet() {
+      for (int i = 0; i < VMS; i++) {
+        shares[i] = new RateShares(OVERSHOOT, RESERVE);
+        for (int j = 0; j < VMS; j++) {
+          known[i][j] = new RateShares.Claim(0.05, 0);
+        }
+      }
+    }
+
+    void rebalance(long nowNanos) {
+      for (int i = 0; i < VMS; i++) {
+        List<RateShares.Claim> others = new ArrayList<>();
+        for (int j = 0; j < VMS; j++) {
+          if (j != i) {
+            others.add(known[i][j]);
+          }
+        }
+        shares[i].rebalance(CUSTOMER, others, false, nowNanos);
+      }
+    }
+
+    void exchange(Random random, double loss) {
+      for (int i = 0; i < VMS; i++) {
+        for (int j = 0; j < VMS; j++) {
+          if (random.nextDouble() >= loss) {
+            known[j][i] = shares[i].claim(ID);
+          }
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerChooserTest.java
@@ -0,0 +1,194 @@
+package org.toucanrack.internal.coordination.steer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.id.BackendServerId;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.RegionId;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.id.VmId;
+import org.toucanrack.internal.coordination.steer.ServerChooser.Choice;
+import org.toucanrack.steering.AnnouncedServer;
+import org.toucanrack.steering.CallerLimits;
+import org.toucanrack.steering.ServiceRule;
+import org.toucanrack.steering.SteeringRules;
+
+class ServerChooserTest {
+
+  private static final ServiceId SERVICE = new ServiceId("s");
+  private static final ServiceRule RULE = new ServiceRule(SERVICE, 100, Duration.ofSeconds(3), 4.4);
+  private static final FailureDomainId NEAR = new FailureDomainId("near-a");
+  private static final FailureDomainId FAR = new FailureDomainId("far-a");
+  private static final RegionId NEAR_REGION = new RegionId("near");
+  private static final RegionId FAR_REGION = new RegionId("far");
+  private static final long OBJECTIVE = TimeUnit.MILLISECONDS.toNanos(400);
+
+  private final ServerTable table = new ServerTable(Map.of(NEAR, NEAR_REGION, FAR, FAR_REGION));
+  private final ServerChooser chooser =
+      new ServerChooser(
+          table, new ColdGuard(new VmId("vm"), NEAR_REGION, 1.5, 5), NEAR_REGION, 2, 0.15);
+
+  // Guards against objects that wander between servers, each of which then knows none of them.
+  @Test
+  void requestsAboutOneObjectGoToOneServer() {
+    publish(servers(NEAR, 4, "v1", Duration.ZERO), Set.of(), Map.of());
+    Set<BackendServerId> used = new HashSet<>();
+
+    for (int i = 0; i < 50; i++) {
+      used.add(choose("object", i).announced().id());
+    }
+
+    assertEquals(1, used.size());
+  }
+
+  // Guards against a request that runs where its customer does not allow it.
+  @Test
+  void homesBindAlsoWhenTheirServersAreGone() {
+    publish(servers(NEAR, 2, "v1", Duration.ZERO), Set.of(), Map.of());
+
+    Choice choice = chooser.choose(attempt("o", Set.of(FAR_REGION)), Map.of(), NOBODY, 0);
+
+    assertInstanceOf(Choice.None.class, choice);
+  }
+
+  // Guards against requests to the servers of an evacuated failure domain.
+  @Test
+  void evacuatedServersGetNothing() {
+    List<AnnouncedServer> servers = servers(NEAR, 2, "v1", Duration.ZERO);
+    servers.addAll(servers(FAR, 1, "v1", Duration.ZERO));
+    publish(servers, Set.of(NEAR), Map.of());
+
+    assertEquals(FAR, choose("o", 0).announced().failureDomain());
+  }
+
+  // Guards against cold servers that crash: VMs that do not hear each other share the bound.
+  @Test
+  void aColdServerGetsNoMoreThanItBearsFromAllVmsTogether() {
+    publish(servers(NEAR, 1, "v1", Duration.ofSeconds(3)), Set.of(), Map.of());
+    ColdGuard.Peers alone = new ColdGuard.Peers(List.of(), 9);
+    int sent = 0;
+
+    for (int i = 0; i < 100; i++) {
+      long now = TimeUnit.MILLISECONDS.toNanos(10L * i);
+      if (chooser.choose(attempt("o" + i, Set.of()), Map.of(), alone, now)
+          instanceof Choice.Use use) {
+        use.server().sent(now);
+        sent++;
+      }
+    }
+
+    assertTrue(10 * sent <= 4.4 * 1.5 + 5, sent + " a second from each of 10 VMs");
+  }
+
+  // Guards against a new version that gets requests before the order that allows its use.
+  @Test
+  void aVersionWithoutOrderGetsNothing() {
+    publish(servers(NEAR, 2, "v1", Duration.ZERO), Set.of(), Map.of());
+    List<AnnouncedServer> both = servers(NEAR, 2, "v1", Duration.ZERO);
+    both.addAll(servers(NEAR, 2, "v2", Duration.ZERO));
+    publish(both, Set.of(), Map.of());
+
+    for (int i = 0; i < 100; i++) {
+      assertEquals("v1", choose("o" + i, i).announced().version().value());
+    }
+  }
+
+  // Guards against a version on trial that gets more than its share.
+  @Test
+  void aVersionOnTrialGetsItsShare() {
+    publish(servers(NEAR, 2, "v1", Duration.ZERO), Set.of(), Map.of());
+    List<AnnouncedServer> both = servers(NEAR, 2, "v1", Duration.ZERO);
+    both.addAll(servers(NEAR, 2, "v2", Duration.ZERO));
+    Map<ServiceId, VersionTrial> trials =
+        Map.of(SERVICE, new VersionTrial(new VersionId("v2"), 0.08));
+    publish(both, Set.of(), trials);
+    int onTrial = 0;
+
+    for (int i = 0; i < 100; i++) {
+      Choice choice = chooser.choose(attempt("o" + i, Set.of()), trials, NOBODY, i);
+      ServerState server = assertInstanceOf(Choice.Use.class, choice).server();
+      onTrial += server.announced().version().value().equals("v2") ? 1 : 0;
+    }
+
+    assertTrue(onTrial == 7 || onTrial == 8, onTrial + " of 100 requests");
+  }
+
+  // Guards against a restarted server that keeps the counts of its earlier run.
+  @Test
+  void aRestartedServerIsAnotherRun() {
+    publish(servers(NEAR, 1, "v1", Duration.ZERO), Set.of(), Map.of());
+    ServerState before = choose("o", 0);
+    AnnouncedServer old = before.announced();
+
+    publish(
+        List.of(
+            new AnnouncedServer(
+                old.id(),
+                old.service(),
+                old.version(),
+                old.failureDomain(),
+                old.address(),
+                old.slots(),
+                false,
+                Duration.ZERO,
+                old.startedAtMillis() + 1)),
+        Set.of(),
+        Map.of());
+
+    assertNotEquals(before, choose("o", 1));
+  }
+
+  private static final ColdGuard.Peers NOBODY = ColdGuard.Peers.NONE;
+
+  private ServerState choose(String object, long now) {
+    Choice choice = chooser.choose(attempt(object, Set.of()), Map.of(), NOBODY, now);
+    return assertInstanceOf(Choice.Use.class, choice).server();
+  }
+
+  private static ServerChooser.Attempt attempt(String object, Set<RegionId> homes) {
+    return new ServerChooser.Attempt(SERVICE, RULE, object, homes, Set.of(), OBJECTIVE, 1);
+  }
+
+  private void publish(
+      List<AnnouncedServer> servers,
+      Set<FailureDomainId> evacuated,
+      Map<ServiceId, VersionTrial> trials) {
+    SteeringRules rules =
+        new SteeringRules(1, List.of(), List.of(RULE), List.of(), CallerLimits.DEFAULT);
+    table.update(
+        new FleetFacts(Optional.of(rules), servers, evacuated, trials), new RuleIndex(rules), 0);
+  }
+
+  private static List<AnnouncedServer> servers(
+      FailureDomainId domain, int count, String version, Duration cold) {
+    List<AnnouncedServer> servers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      servers.add(
+          new AnnouncedServer(
+              new BackendServerId(domain + "-" + version + "-" + i),
+              SERVICE,
+              new VersionId(version),
+              domain,
+              new InetSocketAddress("127.0.0.1", 1 + i),
+              5,
+              false,
+              cold,
+              1));
+    }
+    return servers;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
@@ -0,0 +1,139 @@
+package org.toucanrack.internal.coordination.steer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.id.ServiceId;
+import org.toucanrack.id.VersionId;
+import org.toucanrack.internal.coordination.steer.TrialEvidence.Result;
+import org.toucanrack.steering.RolloutOrder;
+import org.toucanrack.steering.RolloutOutcome.Phase;
+import org.toucanrack.steering.WeightedService;
+
+class SmallDecisionsTest {
+
+  private static final ServiceId SERVICE = new ServiceId("s");
+  private static final RolloutOrder ORDER =
+      new RolloutOrder(SERVICE, new VersionId("v2"), Duration.ofSeconds(16));
+
+  // Guards against a split that drifts from its weights in small numbers.
+  @Test
+  void splitsRequestsByWeightToWithinOneRequest() {
+    ServiceSplit split = new ServiceSplit();
+    List<WeightedService> destinations =
+        List.of(new WeightedService(SERVICE, 90), new WeightedService(new ServiceId("other"), 10));
+    Map<ServiceId, Integer> counts = new HashMap<>();
+
+    for (int i = 0; i < 40; i++) {
+      counts.merge(split.next(destinations), 1, Integer::sum);
+    }
+
+    assertEquals(36, counts.get(SERVICE));
+  }
+
+  // Guards against retries of all VMs that add up to more than the shared budget.
+  @Test
+  void tenVmsWithoutTrafficShareTheReserveOfRetries() {
+    int extras = 0;
+    for (int vm = 0; vm < 10; vm++) {
+      RetryAllowance allowance = new RetryAllowance(0.2, 60, Duration.ofSeconds(10));
+      while (allowance.tryExtra(vm, 10)) {
+        extras++;
+      }
+    }
+
+    assertEquals(60, extras);
+  }
+
+  // Guards against traffic of a region that changes its place faster than allowed.
+  @Test
+  void theSpilledShareChangesSlowly() {
+    RegionSpill spill = new RegionSpill(0.15, 0);
+    for (int i = 0; i <= 20; i++) {
+      spill.update(2, TimeUnit.MILLISECONDS.toNanos(100L * i));
+    }
+
+    assertTrue(spill.share() > 0.05 && spill.share() < 0.1, "share " + spill.share());
+  }
+
+  // Guards against a good version that is reverted since its servers know no objects yet.
+  @Test
+  void slowAnswersOfLessThanHalfAreNoFault() {
+    TrialEvidence evidence = TrialEvidence.NONE;
+    for (int i = 0; i < 100; i++) {
+      evidence = evidence.plus(TrialEvidence.of(false, Result.GOOD));
+      evidence = evidence.plus(TrialEvidence.of(true, i < 40 ? Result.SLOW : Result.GOOD));
+    }
+
+    assertFalse(evidence.showsFault());
+  }
+
+  // Guards against a fault of all servers that is blamed on the new version.
+  @Test
+  void failuresThatBothVersionsHaveAreNoFault() {
+    TrialEvidence evidence = TrialEvidence.NONE;
+    for (int i = 0; i < 100; i++) {
+      Result result = i % 3 == 0 ? Result.FAILED : Result.GOOD;
+      evidence = evidence.plus(TrialEvidence.of(false, result));
+      evidence = evidence.plus(TrialEvidence.of(true, result));
+    }
+
+    assertFalse(evidence.showsFault());
+  }
+
+  // Guards against a bad version that keeps its share, also if its fault shows late.
+  @Test
+  void revertsAVersionThatStartsToFail() {
+    RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
+    TrialEvidence evidence = TrialEvidence.NONE;
+    for (int i = 0; i < 200; i++) {
+      evidence = evidence.plus(TrialEvidence.of(true, Result.GOOD));
+      evidence = evidence.plus(TrialEvidence.of(false, Result.GOOD));
+    }
+    plan.judge(Map.of("r", evidence), seconds(4));
+    assertEquals(Phase.RUNNING, plan.phase());
+
+    for (int i = 0; i < 12; i++) {
+      evidence = evidence.plus(TrialEvidence.of(true, i % 2 == 0 ? Result.FAILED : Result.GOOD));
+    }
+    plan.judge(Map.of("r", evidence), seconds(6));
+
+    assertEquals(Phase.REVERTED, plan.phase());
+    assertEquals(0, plan.trial(seconds(15)).share());
+  }
+
+  // Guards against a good version that is not complete in time.
+  @Test
+  void completesAGoodVersionBeforeItsTimeIsOver() {
+    RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
+    assertTrue(plan.trial(seconds(9)).share() <= 0.1);
+    assertEquals(1, plan.trial(seconds(13)).share());
+
+    plan.judge(Map.of(), seconds(13));
+    assertEquals(Phase.RUNNING, plan.phase());
+    plan.judge(Map.of(), seconds(14));
+    assertEquals(Phase.COMPLETED, plan.phase());
+  }
+
+  // Guards against VMs that stay with their own conclusion after servers were stopped on another.
+  @Test
+  void theConclusionInTheStoreIsFinal() {
+    RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
+    plan.learn(Phase.REVERTED);
+
+    plan.reported(Phase.COMPLETED);
+
+    assertEquals(1, plan.trial(seconds(15)).share());
+  }
+
+  private static long seconds(long seconds) {
+    return TimeUnit.SECONDS.toNanos(seconds);
+  }
+}
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
@@ -0,0 +1,111 @@
+package org.toucanrack.internal.protocol.message;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.internal.protocol.message.MessageReader.Kind;
+
+class MessageReaderTest {
+
+  private static final String CHUNKED =
+      "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + "5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nTrailer: t\r\n\r\n";
+
+  // Guards against a reader that depends on how the network cuts the bytes.
+  @Property(tries = 100)
+  void readsTheSameMessageHoweverItIsCut(@ForAll @IntRange(min = 1, max = 40) int size)
+      throws MalformedMessage {
+    MessageReader reader = reader(Kind.REQUEST);
+    byte[] bytes = (CHUNKED + CHUNKED).getBytes(StandardCharsets.ISO_8859_1);
+    int messages = 0;
+
+    for (int start = 0; start < bytes.length; start += size) {
+      reader.feed(bytes, start, Math.min(size, bytes.length - start));
+      for (Optional<HttpMessage> next = reader.poll(); next.isPresent(); next = reader.poll()) {
+        messages++;
+        assertEquals("hello world", new String(next.get().body(), StandardCharsets.ISO_8859_1));
+        assertEquals("/a/b?x=1", next.get().target());
+      }
+    }
+
+    assertEquals(2, messages);
+  }
+
+  // Guards against request smuggling: two readers that disagree about the end of a request.
+  @Test
+  void rejectsAnAmbiguousLength() {
+    assertMalformed("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc");
+    assertMalformed("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n");
+    assertMalformed("POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc");
+    assertMalformed("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n");
+    assertMalformed("POST / HTTP/1.1\r\nHost : h\r\n\r\n");
+  }
+
+  // Guards against passing on a response whose connection broke before its end.
+  @Test
+  void completesAnUnframedResponseOnlyAtTheOrderlyEndOfTheConnection() throws MalformedMessage {
+    MessageReader reader = reader(Kind.RESPONSE);
+    feed(reader, "HTTP/1.1 200 OK\r\n\r\npart");
+
+    assertTrue(reader.poll().isEmpty());
+
+    HttpMessage message = reader.pollAtEnd().orElseThrow();
+    assertArrayEquals("part".getBytes(StandardCharsets.ISO_8859_1), message.body());
+    assertTrue(message.closesConnection());
+  }
+
+  // Guards against a response that is cut short and taken as complete at the end.
+  @Test
+  void doesNotCompleteAShortBodyAtTheEndOfTheConnection() throws MalformedMessage {
+    MessageReader reader = reader(Kind.RESPONSE);
+    feed(reader, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart");
+
+    assertTrue(reader.poll().isEmpty());
+    assertTrue(reader.pollAtEnd().isEmpty());
+  }
+
+  // Guards against taking the bytes behind a response as part of the next one.
+  @Test
+  void tellsOfBytesBehindAMessage() throws MalformedMessage {
+    MessageReader reader = reader(Kind.RESPONSE);
+    feed(reader, "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 2");
+
+    assertEquals(204, reader.poll().orElseThrow().status());
+    assertTrue(reader.holdsBytes());
+  }
+
+  // Guards against a caller that fills the memory of a VM.
+  @Test
+  void rejectsWhatExceedsItsLimits() {
+    MessageReader reader = new MessageReader(Kind.REQUEST, 64, 8);
+    feed(reader, "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n");
+    assertEquals(413, assertThrows(MalformedMessage.class, reader::poll).status());
+
+    MessageReader long1 = new MessageReader(Kind.REQUEST, 64, 8);
+    feed(long1, "GET / HTTP/1.1\r\nX: " + "a".repeat(64));
+    assertEquals(431, assertThrows(MalformedMessage.class, long1::poll).status());
+  }
+
+  private static void assertMalformed(String bytes) {
+    MessageReader reader = reader(Kind.REQUEST);
+    feed(reader, bytes);
+    assertEquals(400, assertThrows(MalformedMessage.class, reader::poll).status());
+  }
+
+  private static MessageReader reader(Kind kind) {
+    return new MessageReader(kind, 16 * 1024, 1024 * 1024);
+  }
+
+  private static void feed(MessageReader reader, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    reader.feed(bytes, 0, bytes.length);
+  }
+}
