Divide the free part of a customer's rate by what each VM lacks

Cause: all VMs raised their share into the same free part, saw the sum above 1 and dropped to 0 by turns; RateSharesTest showed 84 of 761 requests refused at 1/1.6 of the rate. Change: each VM takes its part of what is free in proportion to what all of them lack, once per heartbeat; a sum above 1 scales all shares down.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -112,22 +112,48 @@
     Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
     refill(account, customer, nowNanos);
     vms = others.size() + 1;
-    double claimed = 0;
-    double total = account.demand;
+    account.share =
+        isolated
+            ? Math.min(account.share, isolatedShare(vms))
+            : rebalanced(new Claim(account.share, account.demand), others);
+    account.tokens = Math.min(account.tokens, capacity(account, customer));
+  }
+
+  /**
+   * Returns the new share of a VM. All VMs compute from the same claims, and divide what is free by
+   * what each lacks, so that they do not raise their shares into the same part.
+   */
+  private static double rebalanced(Claim own, Collection<Claim> others) {
+    double shares = own.share();
+    double demand = own.demand();
     for (Claim other : others) {
-      claimed += other.share();
-      total += other.demand();
+      shares += other.share();
+      demand += other.demand();
     }
-    double base = BASE_DEMAND + MEAN_PART * total / vms;
-    double target = (account.demand + base) / (total + vms * base);
-    if (isolated) {
-      account.share = Math.min(account.share, isolatedShare(others.size() + 1));
-    } else {
-      boolean keeps = target < account.share && target > KEPT_PART * account.share;
-      double wanted = keeps ? account.share : target;
-      account.share = Math.max(0, Math.min(wanted, 1 - claimed));
+    int count = others.size() + 1;
+    double base = BASE_DEMAND + MEAN_PART * demand / count;
+    double whole = demand + count * base;
+    double wanted = wanted(own, base, whole);
+    if (wanted < own.share()) {
+      return wanted;
     }
-    account.tokens = Math.min(account.tokens, capacity(account, customer));
+    double free = 1 - shares;
+    if (free <= 0) {
+      return own.share() / shares;
+    }
+    double lacking = wanted - own.share();
+    for (Claim other : others) {
+      lacking += Math.max(0, wanted(other, base, whole) - other.share());
+    }
+    return lacking <= 0
+        ? own.share()
+        : own.share() + (wanted - own.share()) * Math.min(1, free / lacking);
+  }
+
+  private static double wanted(Claim claim, double base, double whole) {
+    double target = (claim.demand() + base) / whole;
+    boolean keeps = target < claim.share() && target > KEPT_PART * claim.share();
+    return keeps ? claim.share() : target;
   }
 
   /** Returns the share that a VM keeps which hears no other one, and that is kept free for it. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -94,6 +94,7 @@
   private DatagramLink link;
   private long sequence;
   private long lastHeartbeatNanos;
+  private long lastRebalanceNanos;
   private boolean storeReached;
   private long regainedNanos;
   private boolean ready;
@@ -305,11 +306,15 @@
     dirty |= held.values().removeIf(server -> now > server.untilNanos());
     publishIfChanged();
     writeReports(now);
+    if (now - lastRebalanceNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS)) {
+      // Once for each heartbeat of the others, since shares are divided by what all of them told.
+      lastRebalanceNanos = now;
+      publishPeers(now);
+    }
     if (judged || now - lastHeartbeatNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS)) {
       sendHeartbeats();
     }
     noteMembers(now);
-    publishPeers(now);
     for (VmId forgotten : members.forget(now)) {
       log.event("member-forgotten", "member", forgotten);
       board
