Keep objects on three servers under overload and refuse early what would wait too long

Ruled out: rates (hot tenant) as the reason; its requests beyond the rate are not owed. Change: an object uses its first three servers only; a request whose expected wait is above 2.0, 1.4 or 1.0 objectives by priority is refused at once; requests without an object are spread by id.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
@@ -11,7 +11,6 @@
 import org.toucanrack.id.RegionId;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.id.VersionId;
-import org.toucanrack.steering.AnnouncedServer;
 import org.toucanrack.steering.ServiceRule;
 
 /**
@@ -29,8 +28,16 @@
   /** A server this many times slower than the others is used only if no other one has room. */
   private static final double SLOW_FACTOR = 2.5;
 
-  /** Longest wait at the first server of an object, as a part of the objective. */
-  private static final double MAX_WAIT = 0.35;
+  /**
+   * Wait at the first server of an object that is not worth a change, as a part of the objective.
+   */
+  private static final double SHORT_WAIT = 0.35;
+
+  /** Servers that get to know an object: enough to share its load, few enough to remember it. */
+  private static final int SERVERS_PER_OBJECT = 3;
+
+  /** How much longer a server needs that does not know the object. */
+  private static final double UNKNOWN_OBJECT_FACTOR = 2;
 
   /** Share of requests that may leave the region at once when no server of it has room. */
   private static final double FALLBACK_SHARE = 0.04;
@@ -41,8 +48,8 @@
   private static final long MIN_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long FALLBACK_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  /** Requests that may wait at a server beyond its slots, as a part of its slots, by priority. */
-  private static final double[] WAITING_BY_PRIORITY = {1.0, 0.7, 0.4};
+  /** Longest expected wait at a server as a part of the objective, by priority. */
+  private static final double[] LONGEST_WAIT = {2.0, 1.4, 1.0};
 
   private final ServerTable table;
   private final ColdGuard coldGuard;
@@ -210,29 +217,29 @@
         Comparator.comparingLong((ServerState server) -> Spread.score(object, server.hash()))
             .reversed());
     double usualService = usualServiceNanos(ranked);
-    boolean first = true;
+    List<ServerState> homes = new ArrayList<>();
     for (ServerState server : ranked) {
       boolean healthy =
           server.faultRate() < FAULTY
               && (usualService == 0 || server.serviceNanos() < SLOW_FACTOR * usualService);
-      if (healthy && hasRoom(attempt, server, object, first, nowNanos)) {
-        return use(server, reason, object, nowNanos);
+      if (healthy && homes.size() < SERVERS_PER_OBJECT) {
+        homes.add(server);
       }
-      first &= !healthy;
     }
-    return leastLoaded(attempt, ranked, reason, object, nowNanos);
-  }
-
-  /**
-   * The first server of an object may let it wait for a while, since that is quicker than a server
-   * which does not know the object; another one that knows it is used if it has a free slot.
-   */
-  private static boolean hasRoom(
-      Attempt attempt, ServerState server, long object, boolean first, long nowNanos) {
-    if (first) {
-      return server.waitNanos(nowNanos) <= MAX_WAIT * attempt.objectiveNanos();
+    if (homes.isEmpty()) {
+      return quickest(attempt, ranked, reason + "-faulty", object, nowNanos);
+    }
+    ServerState first = homes.get(0);
+    if (first.waitNanos(nowNanos) <= SHORT_WAIT * attempt.objectiveNanos()) {
+      return use(first, reason, object, nowNanos);
+    }
+    for (ServerState server : homes) {
+      if (server.remembers(object, nowNanos)
+          && server.load(nowNanos) < server.announced().slots()) {
+        return use(server, reason + "-second", object, nowNanos);
+      }
     }
-    return server.remembers(object, nowNanos) && server.load(nowNanos) < server.announced().slots();
+    return quickest(attempt, homes, reason + "-waiting", object, nowNanos);
   }
 
   private static Choice use(ServerState server, String reason, long object, long nowNanos) {
@@ -250,23 +257,27 @@
     return known.length == 0 ? 0 : known[(known.length - 1) / 2];
   }
 
-  private Choice leastLoaded(
+  /**
+   * Takes the server that answers first, unless even that one lets the request wait for too long.
+   * Under overload an early refusal leaves the servers to requests that are still in time.
+   */
+  private static Choice quickest(
       Attempt attempt, List<ServerState> servers, String reason, long object, long nowNanos) {
-    int priority = Math.min(Math.max(0, attempt.priority()), WAITING_BY_PRIORITY.length - 1);
-    double most = 1 + WAITING_BY_PRIORITY[priority];
     ServerState best = null;
-    double bestCost = Double.MAX_VALUE;
+    double bestNanos = Double.MAX_VALUE;
     for (ServerState server : servers) {
-      AnnouncedServer announced = server.announced();
-      double fill = server.load(nowNanos) / announced.slots();
-      double cost = (1 + fill) * (1 + 3 * server.faultRate()) * Math.max(1, server.serviceNanos());
-      if (fill < most && cost < bestCost) {
+      double service = Math.max(1, server.serviceNanos());
+      double known = server.remembers(object, nowNanos) ? 1 : UNKNOWN_OBJECT_FACTOR;
+      double nanos = (server.waitNanos(nowNanos) + known * service) * (1 + 3 * server.faultRate());
+      if (nanos < bestNanos) {
         best = server;
-        bestCost = cost;
+        bestNanos = nanos;
       }
     }
-    return best == null
-        ? new Choice.None("full")
-        : use(best, reason + "-least-loaded", object, nowNanos);
+    int priority = Math.min(Math.max(0, attempt.priority()), LONGEST_WAIT.length - 1);
+    boolean inTime =
+        best != null
+            && best.waitNanos(nowNanos) <= LONGEST_WAIT[priority] * attempt.objectiveNanos();
+    return inTime ? use(best, reason, object, nowNanos) : new Choice.None("full");
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -156,7 +156,7 @@
             customer,
             rule,
             homes(route, customer),
-            objectOf(request),
+            objectOf(request).orElse(requestId),
             now,
             now + Math.min(route.timeout().toNanos(), patienceNanos(request, route)))
         .start();
@@ -198,15 +198,16 @@
 
   private static final RegionId NO_REGION = new RegionId("none.of.both");
 
-  private String objectOf(HttpMessage request) {
+  /** Requests that name no object are spread by their ids. */
+  private Optional<String> objectOf(HttpMessage request) {
     String prefix = names.objectCookie() + "=";
     for (String cookie : request.field("Cookie").orElse("").split(";")) {
       String text = cookie.strip();
       if (text.startsWith(prefix)) {
-        return text.substring(prefix.length());
+        return Optional.of(text.substring(prefix.length()));
       }
     }
-    return "";
+    return Optional.empty();
   }
 
   private long patienceNanos(HttpMessage request, RouteRule route) {
