Tell claims in three numbers a customer, and less often in large fleets; serve metrics

Cause: a heartbeat carries 8 customers by name in about 200 bytes; with 85 VMs and 85 customers that would be about 15 MB a second over all links (computed, not measured).

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -76,7 +76,10 @@
       return false;
     }
     boolean fresh = !sameRun || !isHeard(entry, nowNanos);
-    entry.newest = heartbeat;
+    entry.newest =
+        sameRun && heartbeat.getClaimsCount() == 0
+            ? heartbeat.toBuilder().addAllClaims(entry.newest.getClaimsList()).build()
+            : heartbeat;
     entry.peers = peers;
     entry.heardNanos = nowNanos;
     entry.everHeard = true;
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -20,6 +20,7 @@
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.RegionId;
 import org.toucanrack.id.VmId;
+import org.toucanrack.internal.coordination.steer.ClaimCodec;
 import org.toucanrack.internal.coordination.steer.ColdGuard;
 import org.toucanrack.internal.coordination.steer.FleetFacts;
 import org.toucanrack.internal.coordination.steer.MemberTable;
@@ -27,7 +28,6 @@
 import org.toucanrack.internal.coordination.steer.TrialEvidence;
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
-import org.toucanrack.internal.protocol.generated.RateClaim;
 import org.toucanrack.internal.protocol.generated.SharedRowCopy;
 import org.toucanrack.internal.protocol.generated.SharedRows;
 import org.toucanrack.internal.state.shared.SharedBoard;
@@ -35,12 +35,14 @@
 import org.toucanrack.internal.transport.relay.DatagramLink;
 import org.toucanrack.platform.StoreAnswer;
 import org.toucanrack.steering.AnnouncedServer;
+import org.toucanrack.steering.CustomerRule;
 import org.toucanrack.steering.EntrySettings;
 import org.toucanrack.steering.PlatformBinding;
 import org.toucanrack.steering.RolloutOutcome;
 import org.toucanrack.steering.SharedRow;
 import org.toucanrack.steering.SharedStore;
 import org.toucanrack.steering.SharedTable;
+import org.toucanrack.steering.SteeringRules;
 
 /**
  * Learns rules, servers and the other VMs from the store and from heartbeats, and publishes them to
@@ -68,14 +70,20 @@
   /** Pause between attempts to list this VM in the store. */
   private static final long REGISTER_PAUSE_MS = 700;
 
-  private static final double MILLIONTHS = 1e6;
-  private static final double THOUSANDTHS = 1e3;
+  /**
+   * Claims are told with every heartbeat of up to this many VMs, with every second one of twice.
+   */
+  private static final int VMS_PER_CLAIM_INTERVAL = 25;
+
+  /** Timers fire late by turns; a heartbeat that is a little early still carries the claims. */
+  private static final long CLAIM_EARLY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   private final NioReactor reactor;
   private final EntrySettings settings;
   private final PlatformBinding platform;
   private final SharedStore store;
   private final DecisionLog log;
+  private final EntryMetrics metrics;
   private final SharedBoard board = new SharedBoard();
   private final MemberTable members;
   private final OrderBook orders;
@@ -83,18 +91,20 @@
   private final RowExchange exchange;
   private final Map<SharedTable, StoreFollower> followers = new EnumMap<>(SharedTable.class);
   private final Map<String, HeldServer> held = new HashMap<>();
-  private final Map<SharedTable, Boolean> reach = new EnumMap<>(SharedTable.class);
   private final Map<String, Long> reportDueNanos = new HashMap<>();
   private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
   private final Consumer<FleetFacts> facts;
-  private final BiConsumer<ColdGuard.Peers, Map<CustomerId, List<RateShares.Claim>>> peers;
+  private final BiConsumer<ColdGuard.Peers, Optional<Map<CustomerId, List<RateShares.Claim>>>>
+      peers;
   private Set<VmId> heardBefore = new HashSet<>();
   private Map<CustomerId, RateShares.Claim> claims = Map.of();
   private FleetFacts published = FleetFacts.NONE;
   private DatagramLink link;
   private long sequence;
   private long lastHeartbeatNanos;
+  private long lastPeersNanos;
   private long lastRebalanceNanos;
+  private long lastClaimsNanos;
   private boolean storeReached;
   private long regainedNanos;
   private boolean ready;
@@ -108,14 +118,16 @@
       EntrySettings settings,
       PlatformBinding platform,
       DecisionLog log,
+      EntryMetrics metrics,
       ConnectionPool pool,
       Consumer<FleetFacts> facts,
-      BiConsumer<ColdGuard.Peers, Map<CustomerId, List<RateShares.Claim>>> peers) {
+      BiConsumer<ColdGuard.Peers, Optional<Map<CustomerId, List<RateShares.Claim>>>> peers) {
     this.reactor = reactor;
     this.settings = settings;
     this.platform = platform;
     this.store = platform.openStore(reactor, pool);
     this.log = log;
+    this.metrics = metrics;
     this.facts = facts;
     this.peers = peers;
     this.members = new MemberTable(settings.vm());
@@ -197,7 +209,7 @@
 
   @Override
   public void reached(SharedTable table) {
-    reach.put(table, true);
+    metrics.storeCall(table, "done");
     if (!storeReached) {
       storeReached = true;
       regainedNanos = now();
@@ -208,7 +220,7 @@
 
   @Override
   public void missed(SharedTable table, String reason) {
-    reach.put(table, false);
+    metrics.storeCall(table, "missed");
     if (storeReached) {
       storeReached = false;
       log.event("store-lost", "table", table, "reason", reason);
@@ -306,9 +318,8 @@
     dirty |= held.values().removeIf(server -> now > server.untilNanos());
     publishIfChanged();
     writeReports(now);
-    if (now - lastRebalanceNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS)) {
-      // Once for each heartbeat of the others, since shares are divided by what all of them told.
-      lastRebalanceNanos = now;
+    if (now - lastPeersNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS)) {
+      lastPeersNanos = now;
       publishPeers(now);
     }
     if (judged || now - lastHeartbeatNanos >= TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MS)) {
@@ -343,7 +354,10 @@
     }
   }
 
+  /** Shares are divided by what all others told, so once for each of their claims. */
   private void publishPeers(long now) {
+    boolean rebalances = now - lastRebalanceNanos >= claimIntervalNanos(members.addresses().size());
+    lastRebalanceNanos = rebalances ? now : lastRebalanceNanos;
     List<ColdGuard.Peer> heard = new ArrayList<>();
     Map<CustomerId, List<RateShares.Claim>> claimed = new HashMap<>();
     for (EntryHeartbeat member : members.present(now)) {
@@ -353,18 +367,27 @@
       }
     }
     int vms = 1 + heard.size() + members.unheard(now);
+    List<CustomerId> customers =
+        orders.rules().map(SteeringRules::customers).orElse(List.of()).stream()
+            .map(CustomerRule::id)
+            .toList();
     for (EntryHeartbeat member : members.known()) {
       boolean isHeard = members.isHeard(new VmId(member.getVm()), now);
-      for (RateClaim claim : member.getClaimsList()) {
-        double share = claim.getShareMillionths() / MILLIONTHS;
-        double kept = isHeard ? share : Math.min(share, RateShares.isolatedShare(vms));
-        double demand = isHeard ? claim.getDemandThousandths() / THOUSANDTHS : 0;
-        claimed
-            .computeIfAbsent(new CustomerId(claim.getCustomer()), id -> new ArrayList<>())
-            .add(new RateShares.Claim(kept, demand));
-      }
+      ClaimCodec.decode(member.getClaimsList(), customers)
+          .forEach(
+              (customer, claim) ->
+                  claimed
+                      .computeIfAbsent(customer, id -> new ArrayList<>())
+                      .add(isHeard ? claim : keptFor(claim, vms)));
     }
-    peers.accept(new ColdGuard.Peers(heard, members.unheard(now)), claimed);
+    peers.accept(
+        new ColdGuard.Peers(heard, members.unheard(now)),
+        rebalances ? Optional.of(claimed) : Optional.empty());
+  }
+
+  /** A VM that is not heard may still run; it has lowered its share by itself. */
+  private static RateShares.Claim keptFor(RateShares.Claim claim, int vms) {
+    return new RateShares.Claim(Math.min(claim.share(), RateShares.isolatedShare(vms)), 0);
   }
 
   private void noteMembers(long now) {
@@ -444,13 +467,6 @@
             .setOrdersRevision(board.newestRow(SharedTable.ORDERS))
             .setServersRevision(board.newestRow(SharedTable.SERVERS))
             .setReportsRevision(board.newestRow(SharedTable.REPORTS));
-    claims.forEach(
-        (customer, claim) ->
-            heartbeat.addClaims(
-                RateClaim.newBuilder()
-                    .setCustomer(customer.value())
-                    .setShareMillionths((int) Math.ceil(claim.share() * MILLIONTHS))
-                    .setDemandThousandths((int) Math.round(claim.demand() * THOUSANDTHS))));
     rollouts.describe(heartbeat, now);
     return heartbeat;
   }
@@ -458,8 +474,13 @@
   private void sendHeartbeats() {
     long now = now();
     lastHeartbeatNanos = now;
-    byte[] bytes = heartbeat(now).build().toByteArray();
     Set<InetSocketAddress> targets = members.addresses();
+    EntryHeartbeat.Builder heartbeat = heartbeat(now);
+    if (now - lastClaimsNanos >= claimIntervalNanos(targets.size())) {
+      lastClaimsNanos = now;
+      heartbeat.addAllClaims(ClaimCodec.encode(claims));
+    }
+    byte[] bytes = heartbeat.build().toByteArray();
     targets.addAll(settings.listen().knownPeers());
     targets.remove(settings.listen().peers());
     for (InetSocketAddress target : targets) {
@@ -467,6 +488,11 @@
     }
   }
 
+  private static long claimIntervalNanos(int vms) {
+    long millis = HEARTBEAT_MS * (1 + vms / VMS_PER_CLAIM_INTERVAL);
+    return TimeUnit.MILLISECONDS.toNanos(millis) - CLAIM_EARLY_NANOS;
+  }
+
   private void received(byte[] bytes, InetSocketAddress sender) {
     try {
       EntryHeartbeat heartbeat = EntryHeartbeat.parseFrom(bytes);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import org.toucanrack.steering.SharedTable;
 
 /** Counters and latency histograms of one VM. Thread-safe. */
 final class EntryMetrics {
@@ -31,8 +32,8 @@
   private final Counter storeCalls =
       Counter.builder()
           .name("toucanrack_store_calls_total")
-          .help("Calls to the platform's store, by kind and outcome.")
-          .labelNames("kind", "outcome")
+          .help("Calls that follow the platform's store, by table and outcome.")
+          .labelNames("table", "outcome")
           .register(registry);
 
   void finished(String route, String customer, int status, long millis) {
@@ -43,8 +44,8 @@
     refusals.labelValues(reason).inc();
   }
 
-  void storeCall(String kind, String outcome) {
-    storeCalls.labelValues(kind, outcome).inc();
+  void storeCall(SharedTable table, String outcome) {
+    storeCalls.labelValues(table.name(), outcome).inc();
   }
 
   byte[] text() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -88,6 +88,7 @@
             settings,
             platform,
             log,
+            metrics,
             controlPool,
             facts -> onTraffic(() -> traffic.state().adopt(facts, System.nanoTime())),
             (heard, claims) ->
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -90,15 +90,24 @@
     return before != null && now != null && before.to().equals(now.to());
   }
 
-  /** Takes over the other VMs and what they claim of the customers' rates. */
+  /** Takes over the other VMs and, if they are due, their claims of the customers' rates. */
   void adoptPeers(
-      ColdGuard.Peers newest, Map<CustomerId, List<RateShares.Claim>> claims, long nowNanos) {
+      ColdGuard.Peers newest,
+      Optional<Map<CustomerId, List<RateShares.Claim>>> claims,
+      long nowNanos) {
     peers = newest;
     boolean isolated = newest.heard().isEmpty() && newest.unheard() > 0;
-    for (CustomerRule customer :
-        rules.map(RuleIndex::rules).map(SteeringRules::customers).orElse(List.of())) {
-      rates.rebalance(customer, claims.getOrDefault(customer.id(), List.of()), isolated, nowNanos);
-    }
+    List<CustomerRule> customers =
+        rules.map(RuleIndex::rules).map(SteeringRules::customers).orElse(List.of());
+    claims.ifPresent(
+        told ->
+            customers.forEach(
+                customer ->
+                    rates.rebalance(
+                        customer,
+                        told.getOrDefault(customer.id(), List.of()),
+                        isolated,
+                        nowNanos)));
   }
 
   /** Returns the service that the next request of a route goes to. */
