Ask the store anew when another VM knows more, and tell drains to other VMs at once

A call that waits on a silent connection was kept for up to 22 s, so this VM learned of changes only from heartbeats, up to 1.3 s later.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -61,6 +61,9 @@
   /** Another VM's rows are fetched if the store has not told them by then. */
   private static final long FETCH_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Changes of servers are told at once, but not more often than this. */
+  private static final long NEWS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   /** Each VM waits this much longer than the one before it to write a report. */
   private static final long REPORT_STAGGER_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -103,6 +106,7 @@
   private long sequence;
   private long lastHeartbeatNanos;
   private long lastPeersNanos;
+  private long toldServersRevision;
   private long lastRebalanceNanos;
   private long lastClaimsNanos;
   private boolean storeReached;
@@ -349,7 +353,8 @@
     ready = published.rules().isPresent();
     facts.accept(published);
     boolean rulesChanged = before != published.rules().map(rules -> rules.version()).orElse(-1L);
-    if (rulesChanged) {
+    boolean rowsChanged = toldServersRevision != board.newestRow(SharedTable.SERVERS);
+    if (rulesChanged || (rowsChanged && now - lastHeartbeatNanos > NEWS_INTERVAL_NANOS)) {
       sendHeartbeats();
     }
   }
@@ -474,6 +479,7 @@
   private void sendHeartbeats() {
     long now = now();
     lastHeartbeatNanos = now;
+    toldServersRevision = board.newestRow(SharedTable.SERVERS);
     Set<InetSocketAddress> targets = members.addresses();
     EntryHeartbeat.Builder heartbeat = heartbeat(now);
     if (now - lastClaimsNanos >= claimIntervalNanos(targets.size())) {
@@ -517,11 +523,24 @@
             if (isBehind(heartbeat)) {
               log.event("rows-fetched", "from", heartbeat.getVm());
               exchange.fetch(address);
+              restartBehind(heartbeat);
             }
           });
     }
   }
 
+  private void restartBehind(EntryHeartbeat heartbeat) {
+    if (heartbeat.getOrdersRevision() > board.newestRow(SharedTable.ORDERS)) {
+      followers.get(SharedTable.ORDERS).restart();
+    }
+    if (heartbeat.getServersRevision() > board.newestRow(SharedTable.SERVERS)) {
+      followers.get(SharedTable.SERVERS).restart();
+    }
+    if (heartbeat.getReportsRevision() > board.newestRow(SharedTable.REPORTS)) {
+      followers.get(SharedTable.REPORTS).restart();
+    }
+  }
+
   private boolean isBehind(EntryHeartbeat heartbeat) {
     return heartbeat.getOrdersRevision() > board.newestRow(SharedTable.ORDERS)
         || heartbeat.getServersRevision() > board.newestRow(SharedTable.SERVERS)
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import org.toucanrack.internal.state.shared.SharedBoard;
 import org.toucanrack.platform.StoreAnswer;
 import org.toucanrack.steering.SharedRow;
@@ -26,6 +27,9 @@
   private static final long FIRST_PAUSE_MS = 80;
   private static final long LONGEST_PAUSE_MS = 1000;
 
+  /** A store that is slow for all VMs is not asked more often than this. */
+  private static final long RESTART_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Pause before a table is read again that came from a replica behind. */
   private static final long STALE_PAUSE_MS = 300;
 
@@ -36,6 +40,7 @@
   private final Listener listener;
   private long after = -1;
   private long generation;
+  private long startedNanos;
   private long pauseMillis = FIRST_PAUSE_MS;
 
   /** Learns what the follower finds. */
@@ -67,11 +72,19 @@
     this.listener = listener;
   }
 
-  /** Starts to follow, or starts anew if the open call seems to hang. */
+  /** Starts to follow. */
   void start() {
+    startedNanos = System.nanoTime();
     next(++generation);
   }
 
+  /** Gives up the open call, which missed a change that another VM has learned meanwhile. */
+  void restart() {
+    if (System.nanoTime() - startedNanos > RESTART_INTERVAL_NANOS) {
+      start();
+    }
+  }
+
   private void next(long mine) {
     if (mine != generation) {
       return;
