--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/Spread.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/Spread.java
@@ -3,20 +3,28 @@
 import java.nio.charset.StandardCharsets;
 
 /** Rendezvous scores, equal on all VMs. Stateless and thread-safe. */
-final class Spread {
+public final class Spread {
 
-  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-  private static final long FNV_PRIME = 0x100000001b3L;
+  /** Start of a hash over text. */
+  public static final long FNV_OFFSET = 0xcbf29ce484222325L;
+
+  /** Factor of a hash over text. */
+  public static final long FNV_PRIME = 0x100000001b3L;
 
   private Spread() {}
 
   /** Returns the hash of a text. */
   static long hash(String text) {
-    long hash = FNV_OFFSET;
+    return mix(fold(FNV_OFFSET, text));
+  }
+
+  /** Continues a hash with a text. */
+  public static long fold(long start, String text) {
+    long hash = start;
     for (byte next : text.getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ (next & 0xff)) * FNV_PRIME;
     }
-    return mix(hash);
+    return hash;
   }
 
   /** Returns the non-negative score of a pair. */
@@ -25,7 +33,7 @@
   }
 
   /** The finalizer of SplitMix64; FNV alone distributes the high bits of short texts poorly. */
-  private static long mix(long value) {
+  public static long mix(long value) {
     long mixed = value;
     mixed = (mixed ^ (mixed >>> 30)) * 0xbf58476d1ce4e5b9L;
     mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -148,14 +148,18 @@
             settings.listen().peers(),
             this::received,
             fault -> log.event("datagram-failed", "reason", fault.getMessage()));
-    for (SharedTable table :
-        List.of(SharedTable.ORDERS, SharedTable.SERVERS, SharedTable.REPORTS)) {
+    follow(SharedTable.ORDERS);
+    follow(SharedTable.SERVERS);
+    register();
+    tick();
+  }
+
+  private void follow(SharedTable table) {
+    if (!followers.containsKey(table)) {
       StoreFollower follower = new StoreFollower(reactor, store, table, board, this);
       followers.put(table, follower);
       follower.start();
     }
-    register();
-    tick();
   }
 
   RowExchange exchange() {
@@ -231,6 +235,11 @@
     }
   }
 
+  @Override
+  public int otherVms() {
+    return members.addresses().size();
+  }
+
   @Override
   public void merge(SharedRow row) {
     Optional<AnnouncedServer> before =
@@ -346,6 +355,10 @@
     dirty = false;
     long now = now();
     rollouts.orders(orders.rollouts(), now);
+    if (!orders.rollouts().isEmpty()) {
+      // Calls are priced, and there is nothing to report before the first rollout.
+      follow(SharedTable.REPORTS);
+    }
     List<AnnouncedServer> servers = orders.servers();
     held.values().forEach(server -> servers.add(server.server()));
     long before = published.rules().map(rules -> rules.version()).orElse(-1L);
@@ -536,7 +549,8 @@
     if (heartbeat.getServersRevision() > board.newestRow(SharedTable.SERVERS)) {
       followers.get(SharedTable.SERVERS).restart();
     }
-    if (heartbeat.getReportsRevision() > board.newestRow(SharedTable.REPORTS)) {
+    if (heartbeat.getReportsRevision() > board.newestRow(SharedTable.REPORTS)
+        && followers.containsKey(SharedTable.REPORTS)) {
       followers.get(SharedTable.REPORTS).restart();
     }
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -19,11 +19,14 @@
 final class StoreFollower {
 
   /** How long the store may hold a call without changes; calls are priced, so long. */
-  private static final Duration WAIT = Duration.ofSeconds(20);
+  private static final Duration WAIT = Duration.ofSeconds(29);
 
   /** Servers announce themselves in groups; one call then tells several of them. */
   private static final long SERVERS_PAUSE_MS = 250;
 
+  /** In a large fleet some VM asks soon enough at any time, and tells the others. */
+  private static final int VMS_PER_SERVERS_PAUSE = 25;
+
   private static final long FIRST_PAUSE_MS = 80;
   private static final long LONGEST_PAUSE_MS = 1000;
 
@@ -55,6 +58,9 @@
     /** A row may have changed. */
     void merge(SharedRow row);
 
+    /** Returns the number of other VMs that are known. */
+    int otherVms();
+
     /** The whole table was read as of a revision. */
     void replace(SharedTable table, List<SharedRow> rows, long revision);
   }
@@ -136,7 +142,7 @@
     pauseMillis = FIRST_PAUSE_MS;
     listener.reached(table);
     if (table == SharedTable.SERVERS) {
-      later(mine, SERVERS_PAUSE_MS);
+      later(mine, SERVERS_PAUSE_MS * (1 + listener.otherVms() / VMS_PER_SERVERS_PAUSE));
     } else {
       next(mine);
     }
