--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -75,12 +75,12 @@
     if (sameRun && entry.newest.getSequence() >= heartbeat.getSequence()) {
       return false;
     }
-    boolean fresh = !sameRun || !isHeard(entry, nowNanos);
     entry.newest =
         sameRun && heartbeat.getClaimsCount() == 0
             ? heartbeat.toBuilder().addAllClaims(entry.newest.getClaimsList()).build()
             : heartbeat;
     entry.peers = peers;
+    boolean fresh = !sameRun || !isHeard(entry, nowNanos);
     entry.heardNanos = nowNanos;
     entry.everHeard = true;
     return fresh;
@@ -125,6 +125,10 @@
     return entry != null && isHeard(entry, nowNanos);
   }
 
+  private static boolean isHeard(Entry entry, long nowNanos) {
+    return entry.everHeard && nowNanos - entry.heardNanos <= HEARD_NANOS;
+  }
+
   /** Returns the number of VMs that may run but are not heard. */
   public int unheard(long nowNanos) {
     int unheard = 0;
@@ -148,8 +152,4 @@
   public Optional<InetSocketAddress> address(VmId vm) {
     return Optional.ofNullable(entries.get(vm)).map(entry -> entry.peers);
   }
-
-  private static boolean isHeard(Entry entry, long nowNanos) {
-    return entry.everHeard && nowNanos - entry.heardNanos <= HEARD_NANOS;
-  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -105,7 +105,7 @@
    * Adapts the share to what the other VMs told last.
    *
    * @param others the claims of all other VMs that may run
-   * @param floor share that is kept if nothing is free
+   * @param isolated whether no other VM is heard
    */
   public void rebalance(
       CustomerRule customer, Collection<Claim> others, boolean isolated, long nowNanos) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
@@ -89,13 +89,15 @@
 
   /** Returns the share of requests that the version gets. */
   public VersionTrial trial(long nowNanos) {
-    double share =
-        switch (phase) {
-          case REVERTED -> 0;
-          case COMPLETED -> 1;
-          case RUNNING -> runningShare(nowNanos);
-        };
-    return new VersionTrial(order.to(), share);
+    return new VersionTrial(order.to(), share(nowNanos));
+  }
+
+  private double share(long nowNanos) {
+    return switch (phase) {
+      case REVERTED -> 0;
+      case COMPLETED -> 1;
+      case RUNNING -> runningShare(nowNanos);
+    };
   }
 
   private double runningShare(long nowNanos) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -99,17 +99,7 @@
   /** Returns the next message if all of it was received. */
   public Optional<HttpMessage> poll() throws MalformedMessage {
     while (true) {
-      boolean progress =
-          switch (state) {
-            case HEAD -> readHead();
-            case LENGTH_BODY -> end - start >= left;
-            case CHUNK_SIZE -> readChunkSize();
-            case CHUNK_DATA -> readChunkData();
-            case CHUNK_END -> readChunkEnd();
-            case TRAILER -> readTrailer();
-            case UNTIL_END -> checkUnframedSize();
-          };
-      if (!progress) {
+      if (!advance()) {
         return Optional.empty();
       }
       if (state == State.LENGTH_BODY && end - start >= left) {
@@ -125,6 +115,19 @@
     }
   }
 
+  /** Reads the next part; returns whether there was one. */
+  private boolean advance() throws MalformedMessage {
+    return switch (state) {
+      case HEAD -> readHead();
+      case LENGTH_BODY -> end - start >= left;
+      case CHUNK_SIZE -> readChunkSize();
+      case CHUNK_DATA -> readChunkData();
+      case CHUNK_END -> readChunkEnd();
+      case TRAILER -> readTrailer();
+      case UNTIL_END -> checkUnframedSize();
+    };
+  }
+
   /** Returns the message that the orderly end of the connection completes, if there is one. */
   public Optional<HttpMessage> pollAtEnd() {
     if (state != State.UNTIL_END) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -143,18 +143,18 @@
               "pid",
               ProcessHandle.current().pid());
         });
-    run(trafficLoop);
-    run(controlLoop);
+    runInBackground(trafficLoop);
+    runInBackground(controlLoop);
   }
 
   /** Stops on plan: callers are sent elsewhere, running requests end, then the process does. */
   public void stop() {
-    long startNanos = System.nanoTime();
     log.event("stopping", "grace_ms", settings.bounds().stopGrace().toMillis());
     controlLoop.execute(control::leave);
     onTraffic(() -> traffic.listener().closeConnectionsAfterAnswer());
     Duration most = settings.bounds().stopGrace().minus(STOP_MARGIN);
     Duration least = STOP_SERVES.plus(STOP_REFUSES);
+    long startNanos = System.nanoTime();
     while (elapsed(startNanos).compareTo(STOP_SERVES) < 0) {
       pause();
     }
@@ -246,7 +246,7 @@
     return fault + (trace.length == 0 ? "" : " at " + trace[0]);
   }
 
-  private static void run(Eventloop loop) {
+  private static void runInBackground(Eventloop loop) {
     loop.keepAlive(true);
     Thread thread = new Thread(loop);
     thread.setDaemon(true);
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
@@ -0,0 +1,141 @@
+package org.toucanrack.internal.serve.entry;
+
+import io.activej.reactor.nio.NioReactor;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.internal.coordination.steer.ClaimCodec;
+import org.toucanrack.internal.coordination.steer.MemberTable;
+import org.toucanrack.internal.coordination.steer.RateShares;
+import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
+import org.toucanrack.internal.state.shared.SharedBoard;
+import org.toucanrack.internal.transport.relay.DatagramLink;
+import org.toucanrack.steering.EntrySettings;
+import org.toucanrack.steering.SharedTable;
+
+/** Tells the other VMs what this one knows, claims and saw. Confined to the control thread. */
+final class HeartbeatSender {
+
+  /** Also the failure detector of other VMs; bytes between failure domains are dear. */
+  private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+
+  /** Changes of servers are told at once, but not more often than this. */
+  private static final long NEWS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /**
+   * Claims are told with every heartbeat of up to this many VMs, and less often in larger fleets.
+   */
+  private static final int VMS_PER_CLAIM_INTERVAL = 25;
+
+  /** Timers fire late by turns; a heartbeat that is a little early still carries the claims. */
+  private static final long CLAIM_EARLY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private final EntrySettings settings;
+  private final SharedBoard board;
+  private final MemberTable members;
+  private final RolloutDesk rollouts;
+  private final DatagramLink link;
+  private final long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+  private Map<CustomerId, RateShares.Claim> claims = Map.of();
+  private long sequence;
+  private long sentNanos;
+  private long claimsSentNanos;
+  private long toldServersRevision;
+  private boolean ready;
+  private boolean leaving;
+
+  HeartbeatSender(
+      NioReactor reactor,
+      EntrySettings settings,
+      SharedBoard board,
+      MemberTable members,
+      RolloutDesk rollouts,
+      BiConsumer<byte[], InetSocketAddress> receiver,
+      DecisionLog log) {
+    this.settings = settings;
+    this.board = board;
+    this.members = members;
+    this.rollouts = rollouts;
+    this.link =
+        DatagramLink.open(
+            reactor,
+            settings.listen().peers(),
+            receiver,
+            fault -> log.event("datagram-failed", "reason", fault.getMessage()));
+  }
+
+  void claims(Map<CustomerId, RateShares.Claim> newest) {
+    claims = newest;
+  }
+
+  void ready(boolean isReady) {
+    ready = isReady;
+  }
+
+  void leaving() {
+    leaving = true;
+  }
+
+  /** Returns whether the next heartbeat is due, or a change of servers is to be told. */
+  boolean isDue(long nowNanos) {
+    long since = nowNanos - sentNanos;
+    boolean news = toldServersRevision != board.newestRow(SharedTable.SERVERS);
+    return since >= INTERVAL_NANOS || (news && since > NEWS_INTERVAL_NANOS);
+  }
+
+  /** Sends a heartbeat to all other VMs. */
+  void send(long nowNanos) {
+    sentNanos = nowNanos;
+    toldServersRevision = board.newestRow(SharedTable.SERVERS);
+    Set<InetSocketAddress> targets = members.addresses();
+    EntryHeartbeat.Builder heartbeat = heartbeat(nowNanos);
+    if (nowNanos - claimsSentNanos >= claimIntervalNanos(targets.size())) {
+      claimsSentNanos = nowNanos;
+      heartbeat.addAllClaims(ClaimCodec.encode(claims));
+    }
+    byte[] bytes = heartbeat.build().toByteArray();
+    targets.addAll(settings.listen().knownPeers());
+    targets.remove(settings.listen().peers());
+    for (InetSocketAddress target : targets) {
+      link.send(bytes, target);
+    }
+  }
+
+  /** Answers a VM that was not heard before. */
+  void reply(InetSocketAddress target, long nowNanos) {
+    link.send(heartbeat(nowNanos).build().toByteArray(), target);
+  }
+
+  /** Returns a heartbeat without claims. */
+  EntryHeartbeat.Builder heartbeat(long nowNanos) {
+    EntryHeartbeat.Builder heartbeat =
+        EntryHeartbeat.newBuilder()
+            .setVm(settings.vm().value())
+            .setIncarnation(incarnation)
+            .setSequence(++sequence)
+            .setFailureDomain(settings.failureDomain().value())
+            .setCallersAddress(PeerAddresses.text(settings.listen().callers()))
+            .setPeersAddress(PeerAddresses.text(settings.listen().peers()))
+            .setReady(ready)
+            .setLeaving(leaving)
+            .setOrdersRevision(board.newestRow(SharedTable.ORDERS))
+            .setServersRevision(board.newestRow(SharedTable.SERVERS))
+            .setReportsRevision(board.newestRow(SharedTable.REPORTS));
+    rollouts.describe(heartbeat, nowNanos);
+    return heartbeat;
+  }
+
+  /** Returns the time between two claims of a VM in a fleet of this size. */
+  static long claimIntervalNanos(int vms) {
+    return INTERVAL_NANOS * (1 + vms / VMS_PER_CLAIM_INTERVAL) - CLAIM_EARLY_NANOS;
+  }
+
+  void close() {
+    link.close();
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/OrderBook.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/OrderBook.java
@@ -117,6 +117,10 @@
     }
   }
 
+  Optional<AnnouncedServer> server(String name) {
+    return Optional.ofNullable(servers.get(name));
+  }
+
   private static boolean changesUse(AnnouncedServer before, AnnouncedServer now) {
     return before == null
         || before.draining() != now.draining()
@@ -124,10 +128,6 @@
         || before.coldLeft().isZero() != now.coldLeft().isZero();
   }
 
-  Optional<AnnouncedServer> server(String name) {
-    return Optional.ofNullable(servers.get(name));
-  }
-
   List<AnnouncedServer> servers() {
     return new ArrayList<>(servers.values());
   }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ReportWriter.java
@@ -0,0 +1,101 @@
+package org.toucanrack.internal.serve.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.toucanrack.id.VmId;
+import org.toucanrack.internal.coordination.steer.MemberTable;
+import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
+import org.toucanrack.internal.state.shared.SharedBoard;
+import org.toucanrack.steering.FactDecoder;
+import org.toucanrack.steering.RolloutOutcome;
+import org.toucanrack.steering.SharedRow;
+import org.toucanrack.steering.SharedStore;
+import org.toucanrack.steering.SharedTable;
+
+/**
+ * Reports the phases of rollouts to the store. The VMs take turns by name, and each write has the
+ * known revision as its condition, so a late write never replaces a newer report. Confined to the
+ * control thread.
+ */
+final class ReportWriter {
+
+  /** Each VM waits this much longer than the one before it to write a report. */
+  private static final long STAGGER_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  /** Pause after a report whose fate is unknown; the store may still carry it out. */
+  private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  private final VmId self;
+  private final SharedStore store;
+  private final FactDecoder decoder;
+  private final SharedBoard board;
+  private final MemberTable members;
+  private final DecisionLog log;
+  private final Map<RolloutOutcome, Long> dueNanos = new HashMap<>();
+
+  ReportWriter(
+      VmId self,
+      SharedStore store,
+      FactDecoder decoder,
+      SharedBoard board,
+      MemberTable members,
+      DecisionLog log) {
+    this.self = self;
+    this.store = store;
+    this.decoder = decoder;
+    this.board = board;
+    this.members = members;
+    this.log = log;
+  }
+
+  /** Writes what is due of the outcomes that the store does not know. */
+  void write(Iterable<RolloutOutcome> unreported, long nowNanos) {
+    Set<RolloutOutcome> open = new HashSet<>();
+    for (RolloutOutcome outcome : unreported) {
+      open.add(outcome);
+      long due =
+          dueNanos.computeIfAbsent(outcome, key -> nowNanos + rank(nowNanos) * STAGGER_NANOS);
+      if (nowNanos >= due) {
+        dueNanos.put(outcome, nowNanos + PAUSE_NANOS);
+        write(outcome);
+      }
+    }
+    dueNanos.keySet().retainAll(open);
+  }
+
+  private void write(RolloutOutcome outcome) {
+    SharedRow.RowKey key = decoder.reportKey(outcome);
+    long revision = board.row(SharedTable.REPORTS, key.name()).map(SharedRow::revision).orElse(0L);
+    store
+        .write(key, decoder.report(outcome), revision)
+        .thenAccept(
+            answer ->
+                log.event(
+                    "rollout-reported",
+                    "service",
+                    outcome.service(),
+                    "to",
+                    outcome.to(),
+                    "phase",
+                    outcome.phase(),
+                    "expected",
+                    revision,
+                    "done",
+                    answer.isDone()));
+  }
+
+  /** Returns how many heard VMs come before this one. */
+  private int rank(long nowNanos) {
+    int before = 0;
+    for (EntryHeartbeat member : members.present(nowNanos)) {
+      if (member.getVm().compareTo(self.value()) < 0) {
+        before++;
+      }
+    }
+    return before;
+  }
+}
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -42,6 +42,10 @@
   private static final Duration STOPPING_PAUSE = Duration.ofMillis(20);
 
   private static final String BEARER = "Bearer ";
+
+  /** Names no region; stands for homes of route and customer that have none in common. */
+  private static final RegionId NO_REGION = new RegionId("none.of.both");
+
   private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
   private static final int TOO_MANY_REQUESTS = 429;
@@ -94,7 +98,6 @@
 
   @Override
   public void handle(HttpMessage request, Exchange exchange) {
-    long now = now();
     Optional<RuleIndex> rules = state.rules();
     String requestId = request.field(names.requestId()).orElse("-");
     if (refusing) {
@@ -116,6 +119,7 @@
       reject(exchange, requestId, "unknown-key", UNAUTHORIZED);
       return;
     }
+    long now = now();
     if (customer.isPresent()) {
       RateShares.Decision decision = state.rates().admit(customer.get(), now);
       if (!decision.admitted()) {
@@ -196,8 +200,6 @@
     return both.isEmpty() ? Set.of(NO_REGION) : both;
   }
 
-  private static final RegionId NO_REGION = new RegionId("none.of.both");
-
   /** Requests that name no object are spread by their ids. */
   private Optional<String> objectOf(HttpMessage request) {
     String prefix = names.objectCookie() + "=";
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
@@ -83,7 +83,7 @@
 
   // Guards against a VM behind a partition that goes on with a large share.
   @Test
-  void aVmThatHearsNobodyLowersItsShare() {
+  void lowersTheShareOfOneThatHearsNobody() {
     RateShares shares = new RateShares(OVERSHOOT, RESERVE);
     shares.rebalance(CUSTOMER, List.of(new RateShares.Claim(0, 0)), false, 0);
     assertTrue(shares.claim(ID).share() > 0.4);
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerChooserTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerChooserTest.java
@@ -77,7 +77,7 @@
 
   // Guards against cold servers that crash: VMs that do not hear each other share the bound.
   @Test
-  void aColdServerGetsNoMoreThanItBearsFromAllVmsTogether() {
+  void coldServersGetNoMoreThanTheyBearFromAllVmsTogether() {
     publish(servers(NEAR, 1, "v1", Duration.ofSeconds(3)), Set.of(), Map.of());
     ColdGuard.Peers alone = new ColdGuard.Peers(List.of(), 9);
     int sent = 0;
@@ -96,7 +96,7 @@
 
   // Guards against a new version that gets requests before the order that allows its use.
   @Test
-  void aVersionWithoutOrderGetsNothing() {
+  void versionsWithoutOrderGetNothing() {
     publish(servers(NEAR, 2, "v1", Duration.ZERO), Set.of(), Map.of());
     List<AnnouncedServer> both = servers(NEAR, 2, "v1", Duration.ZERO);
     both.addAll(servers(NEAR, 2, "v2", Duration.ZERO));
@@ -109,7 +109,7 @@
 
   // Guards against a version on trial that gets more than its share.
   @Test
-  void aVersionOnTrialGetsItsShare() {
+  void versionsOnTrialGetTheirShare() {
     publish(servers(NEAR, 2, "v1", Duration.ZERO), Set.of(), Map.of());
     List<AnnouncedServer> both = servers(NEAR, 2, "v1", Duration.ZERO);
     both.addAll(servers(NEAR, 2, "v2", Duration.ZERO));
@@ -129,7 +129,7 @@
 
   // Guards against a restarted server that keeps the counts of its earlier run.
   @Test
-  void aRestartedServerIsAnotherRun() {
+  void restartedServersAreAnotherRun() {
     publish(servers(NEAR, 1, "v1", Duration.ZERO), Set.of(), Map.of());
     ServerState before = choose("o", 0);
     AnnouncedServer old = before.announced();
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
@@ -90,7 +90,7 @@
 
   // Guards against a bad version that keeps its share, also if its fault shows late.
   @Test
-  void revertsAVersionThatStartsToFail() {
+  void revertsVersionThatStartsToFail() {
     RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
     TrialEvidence evidence = TrialEvidence.NONE;
     for (int i = 0; i < 200; i++) {
@@ -111,7 +111,7 @@
 
   // Guards against a good version that is not complete in time.
   @Test
-  void completesAGoodVersionBeforeItsTimeIsOver() {
+  void completesGoodVersionBeforeItsTimeIsOver() {
     RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
     assertTrue(plan.trial(seconds(9)).share() <= 0.1);
     assertEquals(1, plan.trial(seconds(13)).share());
--- a/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
@@ -64,7 +64,7 @@
 
   // Guards against a response that is cut short and taken as complete at the end.
   @Test
-  void doesNotCompleteAShortBodyAtTheEndOfTheConnection() throws MalformedMessage {
+  void doesNotCompleteShortBodyAtTheEndOfTheConnection() throws MalformedMessage {
     MessageReader reader = reader(Kind.RESPONSE);
     feed(reader, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart");
 
@@ -74,7 +74,7 @@
 
   // Guards against taking the bytes behind a response as part of the next one.
   @Test
-  void tellsOfBytesBehindAMessage() throws MalformedMessage {
+  void tellsOfBytesBehindTheMessage() throws MalformedMessage {
     MessageReader reader = reader(Kind.RESPONSE);
     feed(reader, "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 2");
 
--- a/toucanrack/src/test/java/org/toucanrack/internal/state/shared/SharedBoardTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/state/shared/SharedBoardTest.java
@@ -26,7 +26,7 @@
 
   // Guards against a server that stays in use because its removal fell into a lost history.
   @Test
-  void removesWhatAWholeTableLacks() {
+  void removesWhatTheWholeTableLacks() {
     board.merge(row("a", 5, "a"));
     board.merge(row("b", 6, "b"));
 
@@ -39,7 +39,7 @@
 
   // Guards against a table read from a replica behind, which lacks rows that are newer.
   @Test
-  void keepsRowsThatAreNewerThanAWholeTable() {
+  void keepsRowsThatAreNewerThanTheWholeTable() {
     board.merge(row("a", 12, "a"));
 
     assertTrue(board.replace(SharedTable.SERVERS, List.of(), 9).isEmpty());
