Keep the shares of VMs that are not heard, so that groups behind a partition stay within the rate

Cause: a VM that was not heard was counted with half of an equal part, while VMs that hear some others kept their whole share; two groups of 3 and 7 VMs could use about 1.5 times a customer's rate. Change: both sides keep what the other one claimed last, half of what is free is taken at a time, and the allowed overshoot is left to shares that change hands.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -13,19 +13,16 @@
  *
  * <p>Each VM claims a share of the rate and tells it to the others. A share follows the demand, but
  * is raised only into what the shares that the others last told leave free. So the sum stays at
- * most 1 while messages are lost or VMs are cut off; a share of a VM that is not heard is kept free
- * for it, and a VM that hears nobody lowers its own share. Not thread-safe.
+ * most 1 while messages are lost or VMs are cut off from each other in any groups: both sides keep
+ * what the other one claimed last. Not thread-safe.
  */
 public final class RateShares {
 
-  /** Half of the allowed overshoot is used, since shares never fit the demand exactly. */
-  private static final double USED_OVERSHOOT = 0.4;
-
   /** Part of the allowed excess in requests that is spread over the VMs as extra burst. */
-  private static final double USED_RESERVE = 0.7;
+  private static final double USED_RESERVE = 0.6;
 
   /** Share of a VM that has heard no other one since its start. */
-  private static final double FIRST_SHARE = 0.05;
+  private static final double FIRST_SHARE = 0.03;
 
   /** Demand that each VM counts as having, so that a first request is not refused. */
   private static final double BASE_DEMAND = 0.2;
@@ -36,24 +33,27 @@
   /** A share is not lowered for less than this, since what is given up is slow to come back. */
   private static final double KEPT_PART = 0.8;
 
+  /**
+   * Part of what is free that is taken at a time, since a raise may be cut off before it is told.
+   */
+  private static final double USED_FREE = 0.5;
+
   /** Memory of the demand. */
   private static final double DEMAND_MEMORY_SECONDS = 4.0;
 
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final Map<CustomerId, Account> accounts = new HashMap<>();
-  private final double overshoot;
   private final double reserve;
   private int vms = 1;
 
   /**
    * Creates shares without customers.
    *
-   * @param overshoot factor by which a customer may exceed its rate and burst, less 1
-   * @param reserve requests beyond that, over all VMs
+   * @param reserve requests of five seconds beyond rate and burst, over all VMs; the allowed
+   *     overshoot in percent is left to shares that change hands
    */
-  public RateShares(double overshoot, double reserve) {
-    this.overshoot = overshoot;
+  public RateShares(double reserve) {
     this.reserve = reserve;
   }
 
@@ -105,17 +105,12 @@
    * Adapts the share to what the other VMs told last.
    *
    * @param others the claims of all other VMs that may run
-   * @param isolated whether no other VM is heard
    */
-  public void rebalance(
-      CustomerRule customer, Collection<Claim> others, boolean isolated, long nowNanos) {
+  public void rebalance(CustomerRule customer, Collection<Claim> others, long nowNanos) {
     Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
     refill(account, customer, nowNanos);
     vms = others.size() + 1;
-    account.share =
-        isolated
-            ? Math.min(account.share, isolatedShare(vms))
-            : rebalanced(new Claim(account.share, account.demand), others);
+    account.share = rebalanced(new Claim(account.share, account.demand), others);
     account.tokens = Math.min(account.tokens, capacity(account, customer));
   }
 
@@ -147,7 +142,7 @@
     }
     return lacking <= 0
         ? own.share()
-        : own.share() + (wanted - own.share()) * Math.min(1, free / lacking);
+        : own.share() + (wanted - own.share()) * Math.min(1, USED_FREE * free / lacking);
   }
 
   private static double wanted(Claim claim, double base, double whole) {
@@ -156,11 +151,6 @@
     return keeps ? claim.share() : target;
   }
 
-  /** Returns the share that a VM keeps which hears no other one, and that is kept free for it. */
-  public static double isolatedShare(int vms) {
-    return 1.0 / (2 * vms);
-  }
-
   /** Returns what this VM tells the others of a customer. */
   public Claim claim(CustomerId customer) {
     Account account = accounts.get(customer);
@@ -181,7 +171,7 @@
     double seconds = Math.max(0, nowNanos - account.refilledNanos) / NANOS_PER_SECOND;
     account.refilledNanos = nowNanos;
     account.demand *= Math.exp(-seconds / DEMAND_MEMORY_SECONDS);
-    double rate = account.share * customer.requestsPerSecond() * (1 + USED_OVERSHOOT * overshoot);
+    double rate = account.share * customer.requestsPerSecond();
     account.tokens = Math.min(capacity(account, customer), account.tokens + seconds * rate);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -332,7 +332,7 @@
             .toList();
     peers.accept(
         peerView.peers(now),
-        rebalances ? Optional.of(peerView.claims(customers, now)) : Optional.empty());
+        rebalances ? Optional.of(peerView.claims(customers)) : Optional.empty());
   }
 
   private void received(byte[] bytes, InetSocketAddress sender) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -71,27 +71,21 @@
     return new ColdGuard.Peers(heard, members.unheard(nowNanos));
   }
 
-  /** Returns what the other VMs claim of each customer's rate. */
-  Map<CustomerId, List<RateShares.Claim>> claims(Collection<CustomerId> customers, long nowNanos) {
-    int vms = 1 + members.present(nowNanos).size() + members.unheard(nowNanos);
+  /**
+   * Returns what the other VMs claim of each customer's rate. A VM that is not heard may still run
+   * and keeps what it claimed last, as this one does there.
+   */
+  Map<CustomerId, List<RateShares.Claim>> claims(Collection<CustomerId> customers) {
     Map<CustomerId, List<RateShares.Claim>> claims = new HashMap<>();
     for (EntryHeartbeat member : members.known()) {
-      boolean isHeard = members.isHeard(new VmId(member.getVm()), nowNanos);
       ClaimCodec.decode(member.getClaimsList(), customers)
           .forEach(
               (customer, claim) ->
-                  claims
-                      .computeIfAbsent(customer, id -> new ArrayList<>())
-                      .add(isHeard ? claim : keptFor(claim, vms)));
+                  claims.computeIfAbsent(customer, id -> new ArrayList<>()).add(claim));
     }
     return claims;
   }
 
-  /** A VM that is not heard may still run; it has lowered its share by itself. */
-  private static RateShares.Claim keptFor(RateShares.Claim claim, int vms) {
-    return new RateShares.Claim(Math.min(claim.share(), RateShares.isolatedShare(vms)), 0);
-  }
-
   /** Logs which VMs are heard anew and which no longer. */
   void logChanges(long nowNanos) {
     Set<VmId> heard = new HashSet<>();
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -52,7 +52,7 @@
     this.settings = settings;
     this.table = new ServerTable(settings.regions());
     EntrySettings.Bounds bounds = settings.bounds();
-    this.rates = new RateShares(bounds.rateOvershoot(), bounds.rateReserve());
+    this.rates = new RateShares(bounds.rateReserve());
     ColdGuard guard =
         new ColdGuard(
             settings.vm(), settings.region(), bounds.coldOvershoot(), bounds.coldReserve());
@@ -96,7 +96,6 @@
       Optional<Map<CustomerId, List<RateShares.Claim>>> claims,
       long nowNanos) {
     peers = newest;
-    boolean isolated = newest.heard().isEmpty() && newest.unheard() > 0;
     List<CustomerRule> customers =
         rules.map(RuleIndex::rules).map(SteeringRules::customers).orElse(List.of());
     claims.ifPresent(
@@ -104,10 +103,7 @@
             customers.forEach(
                 customer ->
                     rates.rebalance(
-                        customer,
-                        told.getOrDefault(customer.id(), List.of()),
-                        isolated,
-                        nowNanos)));
+                        customer, told.getOrDefault(customer.id(), List.of()), nowNanos)));
   }
 
   /** Returns the service that the next request of a route goes to. */
--- a/toucanrack/src/main/java/org/toucanrack/steering/EntrySettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/steering/EntrySettings.java
@@ -77,8 +77,7 @@
    * @param coldOvershoot factor on what a cold server bears within a second
    * @param coldReserve requests beyond the factor
    * @param maxRegionShift share of a region's requests that may change region within two seconds
-   * @param rateOvershoot part by which a customer may exceed its rate and burst
-   * @param rateReserve requests beyond that
+   * @param rateReserve requests that a customer may exceed its rate and burst by
    * @param rolloutShare share of a service's requests that a version on trial may get
    */
   public record Bounds(
@@ -90,7 +89,6 @@
       double coldOvershoot,
       double coldReserve,
       double maxRegionShift,
-      double rateOvershoot,
       double rateReserve,
       double rolloutShare) {}
 }
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -81,16 +82,35 @@
     assertTrue(refused < asked / 50, refused + " of " + asked + " refused");
   }
 
-  // Guards against a VM behind a partition that goes on with a large share.
-  @Test
-  void lowersTheShareOfOneThatHearsNobody() {
-    RateShares shares = new RateShares(OVERSHOOT, RESERVE);
-    shares.rebalance(CUSTOMER, List.of(new RateShares.Claim(0, 0)), false, 0);
-    assertTrue(shares.claim(ID).share() > 0.4);
-
-    shares.rebalance(CUSTOMER, List.of(new RateShares.Claim(0, 0)), true, 1);
+  // Guards against two groups of VMs behind a partition that each divide the whole rate.
+  @Property(tries = 40)
+  void groupsThatAreCutOffFromEachOtherStayWithinTheRate(@ForAll long seed) {
+    Random random = new Random(seed);
+    Fleet fleet = new Fleet();
+    double[] demand = new double[VMS];
+    for (int second = 0; second < 40; second++) {
+      if (second % 5 == 0) {
+        for (int i = 0; i < VMS; i++) {
+          demand[i] = random.nextDouble() < 0.5 ? 0 : random.nextDouble() * 60;
+        }
+      }
+      for (int i = 0; i < VMS; i++) {
+        for (int request = 0; request < demand[i]; request++) {
+          fleet.shares[i].admit(CUSTOMER, TimeUnit.SECONDS.toNanos(second));
+        }
+      }
+      fleet.rebalance(TimeUnit.SECONDS.toNanos(second));
+      int cut = second;
+      fleet.exchange((one, other) -> cut < 10 || (one < 3) == (other < 3));
+    }
 
-    assertTrue(shares.claim(ID).share() <= RateShares.isolatedShare(2));
+    double sum = 0;
+    for (RateShares shares : fleet.shares) {
+      sum += shares.claim(ID).share();
+    }
+    double allowed = (RATE * 5 + BURST) * (1 + OVERSHOOT) + RESERVE;
+    double possible = sum * (RATE * 5 + BURST) + 0.6 * RESERVE;
+    assertTrue(possible <= allowed, "shares of " + sum + " allow " + possible);
   }
 
   private static int mostWithin(List<Long> times, long windowNanos) {
@@ -112,7 +132,7 @@
 
     Fleet() {
       for (int i = 0; i < VMS; i++) {
-        shares[i] = new RateShares(OVERSHOOT, RESERVE);
+        shares[i] = new RateShares(RESERVE);
         for (int j = 0; j < VMS; j++) {
           known[i][j] = new RateShares.Claim(0.05, 0);
         }
@@ -127,14 +147,18 @@
             others.add(known[i][j]);
           }
         }
-        shares[i].rebalance(CUSTOMER, others, false, nowNanos);
+        shares[i].rebalance(CUSTOMER, others, nowNanos);
       }
     }
 
     void exchange(Random random, double loss) {
+      exchange((one, other) -> random.nextDouble() >= loss);
+    }
+
+    void exchange(BiPredicate<Integer, Integer> arrives) {
       for (int i = 0; i < VMS; i++) {
         for (int j = 0; j < VMS; j++) {
-          if (random.nextDouble() >= loss) {
+          if (arrives.test(i, j)) {
             known[j][i] = shares[i].claim(ID);
           }
         }
