Send callers to two VMs a failure domain, and let the others stand by

Change: look-ups name the two strongest VMs of each failure domain, more if the load asks for it (ServingSet). The others stand by: they claim next to nothing of the rates, own no cold servers, tell distant VMs less often that they run, and learn changes from serving VMs instead of the store. Small sites keep all VMs serving.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ClaimCodec.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ClaimCodec.java
@@ -34,14 +34,15 @@
     return numbers;
   }
 
-  /** Decodes the claims of the customers that are known here. */
+  /** Decodes the claims of the customers that are known here, as told by a VM. */
   public static Map<CustomerId, RateShares.Claim> decode(
-      List<Integer> numbers, Collection<CustomerId> customers) {
+      List<Integer> numbers, boolean serving, Collection<CustomerId> customers) {
     Map<Integer, RateShares.Claim> byHash = new HashMap<>();
     for (int i = 0; i + NUMBERS <= numbers.size(); i += NUMBERS) {
       byHash.put(
           numbers.get(i),
-          new RateShares.Claim(numbers.get(i + 1) / SHARE_UNIT, numbers.get(i + 2) / DEMAND_UNIT));
+          new RateShares.Claim(
+              numbers.get(i + 1) / SHARE_UNIT, numbers.get(i + 2) / DEMAND_UNIT, serving));
     }
     Map<CustomerId, RateShares.Claim> claims = new HashMap<>();
     for (CustomerId customer : customers) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ColdGuard.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ColdGuard.java
@@ -39,7 +39,8 @@
 
   /** Returns whether one more request may be sent to the server now. */
   public boolean allows(ServerState server, ServiceRule rule, Peers peers, long nowNanos) {
-    if (!isOwner(server, peers)) {
+    boolean standsBy = !peers.selfServing() && !peers.heard().isEmpty();
+    if (standsBy || !isOwner(server, peers)) {
       return false;
     }
     double bound = rule.coldRequestsPerSecond() * overshoot + reserve;
@@ -75,15 +76,16 @@
   public record Peer(VmId vm, RegionId region) {}
 
   /**
-   * The other VMs.
+   * The other VMs that callers are sent to.
    *
-   * @param heard VMs that are heard now, without this one
-   * @param unheard number of VMs that may run but are not heard
+   * @param heard those that are heard now, without this one
+   * @param unheard number of those that may run but are not heard
+   * @param selfServing whether callers are sent to this VM
    */
-  public record Peers(List<Peer> heard, int unheard) {
+  public record Peers(List<Peer> heard, int unheard, boolean selfServing) {
 
     /** No other VM is known. */
-    public static final Peers NONE = new Peers(List.of(), 0);
+    public static final Peers NONE = new Peers(List.of(), 0, true);
 
     /** Copies the list. */
     public Peers {
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -4,11 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.toucanrack.id.VmId;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
@@ -21,8 +19,10 @@
  */
 public final class MemberTable {
 
-  /** A VM that missed two heartbeats is not heard. */
-  static final long HEARD_NANOS = TimeUnit.MILLISECONDS.toNanos(2300);
+  /** A VM that missed two heartbeats is not heard; a part more covers late timers. */
+  static final double HEARD_INTERVALS = 2.3;
+
+  private static final long USUAL_INTERVAL_MS = 1000;
 
   /** A VM that is silent for longer has ended: partitions of a platform are shorter than this. */
   static final long FORGOTTEN_NANOS = TimeUnit.SECONDS.toNanos(60);
@@ -126,26 +126,41 @@
   }
 
   private static boolean isHeard(Entry entry, long nowNanos) {
-    return entry.everHeard && nowNanos - entry.heardNanos <= HEARD_NANOS;
+    return entry.everHeard && nowNanos - entry.heardNanos <= heardNanos(entry.newest);
+  }
+
+  private static long heardNanos(EntryHeartbeat newest) {
+    long interval =
+        newest.getIntervalMillis() == 0 ? USUAL_INTERVAL_MS : newest.getIntervalMillis();
+    return TimeUnit.MILLISECONDS.toNanos((long) (HEARD_INTERVALS * interval));
   }
 
-  /** Returns the number of VMs that may run but are not heard. */
+  /**
+   * Returns the number of VMs that may run and serve but are not heard. VMs that never were heard
+   * count as well.
+   */
   public int unheard(long nowNanos) {
     int unheard = 0;
     for (Entry entry : entries.values()) {
-      boolean left = entry.newest != null && entry.newest.getLeaving();
-      if (!left && !isHeard(entry, nowNanos)) {
+      boolean idle =
+          entry.newest != null && (entry.newest.getLeaving() || !entry.newest.getServing());
+      if (!idle && !isHeard(entry, nowNanos)) {
         unheard++;
       }
     }
     return unheard;
   }
 
-  /** Returns where heartbeats are sent. */
-  public Set<InetSocketAddress> addresses() {
-    Set<InetSocketAddress> addresses = new HashSet<>();
-    entries.values().forEach(entry -> addresses.add(entry.peers));
-    return addresses;
+  /** Returns where heartbeats are sent, with the newest heartbeat from there if there is one. */
+  public Map<InetSocketAddress, Optional<EntryHeartbeat>> targets() {
+    Map<InetSocketAddress, Optional<EntryHeartbeat>> targets = new HashMap<>();
+    entries.values().forEach(entry -> targets.put(entry.peers, Optional.ofNullable(entry.newest)));
+    return targets;
+  }
+
+  /** Returns the number of other VMs. */
+  public int size() {
+    return entries.size();
   }
 
   /** Returns the address for peers of a VM. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -24,10 +24,13 @@
   /** Share of a VM that has heard no other one since its start. */
   private static final double FIRST_SHARE = 0.03;
 
-  /** Demand that each VM counts as having, so that a first request is not refused. */
+  /** Demand that each serving VM counts as having, so that a first request is not refused. */
   private static final double BASE_DEMAND = 0.2;
 
-  /** Part of the mean demand that each VM counts as having, against noise in small numbers. */
+  /** Demand that a VM on standby counts as having; callers come to it after a loss only. */
+  private static final double STANDBY_DEMAND = 0.01;
+
+  /** Part of the mean demand that each serving VM counts as having, against noise. */
   private static final double MEAN_PART = 1.0;
 
   /** A share is not lowered for less than this, since what is given up is slow to come back. */
@@ -45,7 +48,8 @@
 
   private final Map<CustomerId, Account> accounts = new HashMap<>();
   private final double reserve;
-  private int vms = 1;
+  private int servingVms = 1;
+  private boolean serving = true;
 
   /**
    * Creates shares without customers.
@@ -62,8 +66,9 @@
    *
    * @param share the part of the rate that it uses
    * @param demand requests a second that it is asked for
+   * @param serving whether callers are sent to it
    */
-  public record Claim(double share, double demand) {}
+  public record Claim(double share, double demand, boolean serving) {}
 
   /** The outcome of asking for one request. */
   public record Decision(boolean admitted, Duration retryAfter, double share) {}
@@ -101,6 +106,11 @@
     }
   }
 
+  /** Learns whether callers are sent to this VM. */
+  public void serving(boolean isServing) {
+    serving = isServing;
+  }
+
   /**
    * Adapts the share to what the other VMs told last.
    *
@@ -109,8 +119,8 @@
   public void rebalance(CustomerRule customer, Collection<Claim> others, long nowNanos) {
     Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
     refill(account, customer, nowNanos);
-    vms = others.size() + 1;
-    account.share = rebalanced(new Claim(account.share, account.demand), others);
+    servingVms = 1 + (int) others.stream().filter(Claim::serving).count();
+    account.share = rebalanced(new Claim(account.share, account.demand, serving), others);
     account.tokens = Math.min(account.tokens, capacity(account, customer));
   }
 
@@ -121,13 +131,15 @@
   private static double rebalanced(Claim own, Collection<Claim> others) {
     double shares = own.share();
     double demand = own.demand();
+    int servingCount = own.serving() ? 1 : 0;
     for (Claim other : others) {
       shares += other.share();
       demand += other.demand();
+      servingCount += other.serving() ? 1 : 0;
     }
-    int count = others.size() + 1;
-    double base = BASE_DEMAND + MEAN_PART * demand / count;
-    double whole = demand + count * base;
+    double base = BASE_DEMAND + MEAN_PART * demand / Math.max(1, servingCount);
+    int standbyCount = others.size() + 1 - servingCount;
+    double whole = demand + servingCount * base + standbyCount * STANDBY_DEMAND;
     double wanted = wanted(own, base, whole);
     if (wanted < own.share()) {
       return wanted;
@@ -146,7 +158,7 @@
   }
 
   private static double wanted(Claim claim, double base, double whole) {
-    double target = (claim.demand() + base) / whole;
+    double target = (claim.demand() + (claim.serving() ? base : STANDBY_DEMAND)) / whole;
     boolean keeps = target < claim.share() && target > KEPT_PART * claim.share();
     return keeps ? claim.share() : target;
   }
@@ -154,11 +166,14 @@
   /** Returns what this VM tells the others of a customer. */
   public Claim claim(CustomerId customer) {
     Account account = accounts.get(customer);
-    return account == null ? new Claim(FIRST_SHARE, 0) : new Claim(account.share, account.demand);
+    return account == null
+        ? new Claim(FIRST_SHARE, 0, serving)
+        : new Claim(account.share, account.demand, serving);
   }
 
   private double capacity(Account account, CustomerRule customer) {
-    return Math.max(1, account.share * customer.burst() + USED_RESERVE * reserve / vms);
+    double reservePart = serving ? USED_RESERVE * reserve / servingVms : 0;
+    return Math.max(1, account.share * customer.burst() + reservePart);
   }
 
   private void refill(Account account, CustomerRule customer, long nowNanos) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -10,12 +10,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.VmId;
-import org.toucanrack.internal.coordination.steer.ColdGuard;
 import org.toucanrack.internal.coordination.steer.FleetFacts;
 import org.toucanrack.internal.coordination.steer.MemberTable;
 import org.toucanrack.internal.coordination.steer.RateShares;
@@ -51,7 +49,13 @@
   private static final long LAPSE_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(2200);
 
   /** Another VM's rows are fetched if the store has not told them by then. */
-  private static final long FETCH_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  private static final long REGION_FETCH_DELAY_MS = 300;
+
+  /** Delay towards VMs of other regions, until a nearer one had the time to tell. */
+  private static final long DISTANT_FETCH_DELAY_MS = 450;
+
+  /** Delay of a VM that does not follow the store: several rows often change together. */
+  private static final long STANDBY_FETCH_DELAY_MS = 60;
 
   /** Pause between attempts to list this VM in the store. */
   private static final long REGISTER_PAUSE_MS = 700;
@@ -72,8 +76,7 @@
   private final Map<SharedTable, StoreFollower> followers = new EnumMap<>(SharedTable.class);
   private final Map<String, HeldServer> held = new HashMap<>();
   private final Consumer<FleetFacts> facts;
-  private final BiConsumer<ColdGuard.Peers, Optional<Map<CustomerId, List<RateShares.Claim>>>>
-      peers;
+  private final Consumer<PeerNews> peers;
   private HeartbeatSender heartbeats;
   private FleetFacts published = FleetFacts.NONE;
   private long lastPeersNanos;
@@ -94,7 +97,7 @@
       EntryMetrics metrics,
       ConnectionPool pool,
       Consumer<FleetFacts> facts,
-      BiConsumer<ColdGuard.Peers, Optional<Map<CustomerId, List<RateShares.Claim>>>> peers) {
+      Consumer<PeerNews> peers) {
     this.reactor = reactor;
     this.settings = settings;
     this.platform = platform;
@@ -140,6 +143,7 @@
   /** Tells the other VMs that this one stops, so that callers are no longer sent here. */
   void leave() {
     leaving = true;
+    refreshServing(now());
     heartbeats.leaving();
     heartbeats.send(now());
     Optional<SharedRow> row = board.row(SharedTable.MEMBERS, settings.vm().value());
@@ -154,14 +158,16 @@
   /** Takes over what the traffic thread counted. */
   void learnTraffic(
       Map<CustomerId, RateShares.Claim> newClaims,
-      Map<TrafficState.EvidenceKey, TrialEvidence> evidence) {
-    heartbeats.claims(newClaims);
+      Map<TrafficState.EvidenceKey, TrialEvidence> evidence,
+      double requestsPerSecond) {
+    heartbeats.traffic(newClaims, requestsPerSecond);
+    peerView.selfRequests(requestsPerSecond);
     rollouts.ownEvidence(evidence);
   }
 
   /** Returns the addresses of the VMs that a caller from this failure domain is sent to. */
   List<InetSocketAddress> vmsFor(Optional<FailureDomainId> caller) {
-    return peerView.readyVms(caller, isReady(), now());
+    return peerView.servingVms(caller, now());
   }
 
   @Override
@@ -169,6 +175,7 @@
     metrics.storeCall(table, "done");
     if (!storeReached) {
       storeReached = true;
+      heartbeats.storeReached(true);
       regainedNanos = now();
       log.event("store-reached", "table", table);
     }
@@ -180,13 +187,19 @@
     metrics.storeCall(table, "missed");
     if (storeReached) {
       storeReached = false;
+      heartbeats.storeReached(false);
       log.event("store-lost", "table", table, "reason", reason);
     }
   }
 
   @Override
-  public int otherVms() {
-    return members.addresses().size();
+  public int otherFollowers() {
+    return peerView.otherServing();
+  }
+
+  @Override
+  public boolean learnsFromOthers() {
+    return peerView.learnsFromOthers(now());
   }
 
   @Override
@@ -281,6 +294,7 @@
     dirty |= held.values().removeIf(server -> now > server.untilNanos());
     publishIfChanged();
     reports.write(rollouts.unreported(), now);
+    refreshServing(now);
     if (now - lastPeersNanos >= PEERS_INTERVAL_NANOS) {
       lastPeersNanos = now;
       publishPeers(now);
@@ -315,24 +329,32 @@
     published = new FleetFacts(orders.rules(), servers, orders.evacuated(), rollouts.trials(now));
     ready = published.rules().isPresent();
     heartbeats.ready(ready);
+    refreshServing(now);
     facts.accept(published);
-    if (rulesChanged || heartbeats.isDue(now)) {
+    boolean tells = rulesChanged && !peerView.learnsFromOthers(now);
+    if (tells || heartbeats.isDue(now)) {
       heartbeats.send(now);
     }
   }
 
+  private void refreshServing(long now) {
+    peerView.refresh(isReady(), now);
+    heartbeats.serving(peerView.selfServing());
+  }
+
   /** Shares are divided by what all others told, so once for each of their claims. */
   private void publishPeers(long now) {
     boolean rebalances =
-        now - lastRebalanceNanos >= HeartbeatSender.claimIntervalNanos(members.addresses().size());
+        now - lastRebalanceNanos >= HeartbeatSender.claimIntervalNanos(peerView.otherServing());
     lastRebalanceNanos = rebalances ? now : lastRebalanceNanos;
     List<CustomerId> customers =
         orders.rules().map(SteeringRules::customers).orElse(List.of()).stream()
             .map(CustomerRule::id)
             .toList();
     peers.accept(
-        peerView.peers(now),
-        rebalances ? Optional.of(peerView.claims(customers)) : Optional.empty());
+        new PeerNews(
+            peerView.peers(now),
+            rebalances ? Optional.of(peerView.claims(customers)) : Optional.empty()));
   }
 
   private void received(byte[] bytes, InetSocketAddress sender) {
@@ -350,11 +372,14 @@
     }
   }
 
-  /** The store tells most changes first; what it has not told after a moment is fetched. */
+  /**
+   * The store tells most changes first; what it has not told after a moment is fetched. Near VMs
+   * are asked first, since bytes between failure domains are dear.
+   */
   private void fetchLater(EntryHeartbeat heartbeat, InetSocketAddress address) {
     if (isBehind(heartbeat)) {
       reactor.delayBackground(
-          TimeUnit.NANOSECONDS.toMillis(FETCH_DELAY_NANOS),
+          fetchDelayMillis(heartbeat),
           () -> {
             if (isBehind(heartbeat)) {
               log.event("rows-fetched", "from", heartbeat.getVm());
@@ -365,6 +390,16 @@
     }
   }
 
+  private long fetchDelayMillis(EntryHeartbeat heartbeat) {
+    FailureDomainId domain = new FailureDomainId(heartbeat.getFailureDomain());
+    if (!domain.equals(settings.failureDomain())) {
+      return settings.region().equals(settings.regions().get(domain))
+          ? REGION_FETCH_DELAY_MS
+          : DISTANT_FETCH_DELAY_MS;
+    }
+    return peerView.learnsFromOthers(now()) ? STANDBY_FETCH_DELAY_MS : REGION_FETCH_DELAY_MS;
+  }
+
   private void restartBehind(EntryHeartbeat heartbeat) {
     if (heartbeat.getOrdersRevision() > board.newestRow(SharedTable.ORDERS)) {
       followers.get(SharedTable.ORDERS).restart();
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -91,8 +91,7 @@
             metrics,
             controlPool,
             facts -> onTraffic(() -> traffic.state().adopt(facts, System.nanoTime())),
-            (heard, claims) ->
-                onTraffic(() -> traffic.state().adoptPeers(heard, claims, System.nanoTime())));
+            news -> onTraffic(() -> traffic.state().adoptPeers(news, System.nanoTime())));
     EntrySettings.Listen listen = settings.listen();
     this.readiness = internal(listen.readiness(), this::answerReadiness);
     this.lookup = internal(listen.lookup(), this::answerLookup);
@@ -198,7 +197,8 @@
   private void reportTraffic() {
     Map<CustomerId, RateShares.Claim> claims = traffic.state().claims();
     Map<TrafficState.EvidenceKey, TrialEvidence> evidence = traffic.state().evidence();
-    controlLoop.execute(() -> control.learnTraffic(claims, evidence));
+    double requests = traffic.state().requestsPerSecond(System.nanoTime());
+    controlLoop.execute(() -> control.learnTraffic(claims, evidence, requests));
     trafficLoop.delayBackground(REPORT_MS, this::reportTraffic);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
@@ -3,11 +3,12 @@
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.toucanrack.id.CustomerId;
+import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.internal.coordination.steer.ClaimCodec;
 import org.toucanrack.internal.coordination.steer.MemberTable;
 import org.toucanrack.internal.coordination.steer.RateShares;
@@ -24,6 +25,18 @@
   /** Also the failure detector of other VMs; bytes between failure domains are dear. */
   private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
+  private static final int DISTANT_INTERVAL_MS = 2500;
+
+  /**
+   * Interval between VMs of different regions that both stand by, or of which the sender does: they
+   * are needed only when a whole region is lost.
+   */
+  private static final long DISTANT_INTERVAL_NANOS =
+      TimeUnit.MILLISECONDS.toNanos(DISTANT_INTERVAL_MS);
+
+  /** Interval of claims to VMs that stand by; they need them when they start to serve. */
+  private static final long STANDBY_CLAIM_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(6);
+
   /** Changes of servers are told at once, but not more often than this. */
   private static final long NEWS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -45,9 +58,14 @@
   private long sequence;
   private long sentNanos;
   private long claimsSentNanos;
+  private long standbyClaimsSentNanos;
+  private long distantSentNanos;
   private long toldServersRevision;
   private boolean ready;
   private boolean leaving;
+  private boolean serving;
+  private boolean storeReached;
+  private double requestsPerSecond;
 
   HeartbeatSender(
       NioReactor reactor,
@@ -69,14 +87,23 @@
             fault -> log.event("datagram-failed", "reason", fault.getMessage()));
   }
 
-  void claims(Map<CustomerId, RateShares.Claim> newest) {
+  void traffic(Map<CustomerId, RateShares.Claim> newest, double newestRequestsPerSecond) {
     claims = newest;
+    requestsPerSecond = newestRequestsPerSecond;
   }
 
   void ready(boolean isReady) {
     ready = isReady;
   }
 
+  void serving(boolean isServing) {
+    serving = isServing;
+  }
+
+  void storeReached(boolean isReached) {
+    storeReached = isReached;
+  }
+
   void leaving() {
     leaving = true;
   }
@@ -84,26 +111,60 @@
   /** Returns whether the next heartbeat is due, or a change of servers is to be told. */
   boolean isDue(long nowNanos) {
     long since = nowNanos - sentNanos;
-    boolean news = toldServersRevision != board.newestRow(SharedTable.SERVERS);
+    boolean news = serving && toldServersRevision != board.newestRow(SharedTable.SERVERS);
     return since >= INTERVAL_NANOS || (news && since > NEWS_INTERVAL_NANOS);
   }
 
-  /** Sends a heartbeat to all other VMs. */
+  /** Sends a heartbeat to all other VMs, to distant ones less often while this one stands by. */
   void send(long nowNanos) {
     sentNanos = nowNanos;
     toldServersRevision = board.newestRow(SharedTable.SERVERS);
-    Set<InetSocketAddress> targets = members.addresses();
-    EntryHeartbeat.Builder heartbeat = heartbeat(nowNanos);
-    if (nowNanos - claimsSentNanos >= claimIntervalNanos(targets.size())) {
-      claimsSentNanos = nowNanos;
-      heartbeat.addAllClaims(ClaimCodec.encode(claims));
-    }
-    byte[] bytes = heartbeat.build().toByteArray();
-    targets.addAll(settings.listen().knownPeers());
+    Map<InetSocketAddress, Optional<EntryHeartbeat>> targets = members.targets();
+    settings.listen().knownPeers().forEach(peer -> targets.putIfAbsent(peer, Optional.empty()));
     targets.remove(settings.listen().peers());
-    for (InetSocketAddress target : targets) {
-      link.send(bytes, target);
-    }
+    final boolean claimsDue = nowNanos - claimsSentNanos >= claimIntervalNanos(servingVms(targets));
+    final boolean standbyClaimsDue =
+        nowNanos - standbyClaimsSentNanos >= STANDBY_CLAIM_INTERVAL_NANOS;
+    final boolean distantDue = leaving || nowNanos - distantSentNanos >= DISTANT_INTERVAL_NANOS;
+    claimsSentNanos = claimsDue ? nowNanos : claimsSentNanos;
+    standbyClaimsSentNanos = standbyClaimsDue ? nowNanos : standbyClaimsSentNanos;
+    distantSentNanos = distantDue ? nowNanos : distantSentNanos;
+    EntryHeartbeat.Builder heartbeat = heartbeat(nowNanos);
+    final byte[] plain = heartbeat.build().toByteArray();
+    final byte[] distant = heartbeat.setIntervalMillis(DISTANT_INTERVAL_MS).build().toByteArray();
+    final byte[] claiming =
+        heartbeat
+            .clearIntervalMillis()
+            .addAllClaims(ClaimCodec.encode(claims))
+            .build()
+            .toByteArray();
+    targets.forEach(
+        (target, newest) -> {
+          boolean near = serving || newest.map(this::isNear).orElse(true);
+          boolean targetServes = newest.map(EntryHeartbeat::getServing).orElse(true);
+          if (!near) {
+            if (distantDue) {
+              link.send(distant, target);
+            }
+          } else if (targetServes ? claimsDue : standbyClaimsDue) {
+            link.send(claiming, target);
+          } else {
+            link.send(plain, target);
+          }
+        });
+  }
+
+  private boolean isNear(EntryHeartbeat member) {
+    return settings
+        .region()
+        .equals(settings.regions().get(new FailureDomainId(member.getFailureDomain())));
+  }
+
+  private static int servingVms(Map<InetSocketAddress, Optional<EntryHeartbeat>> targets) {
+    return (int)
+        targets.values().stream()
+            .filter(newest -> newest.map(EntryHeartbeat::getServing).orElse(false))
+            .count();
   }
 
   /** Answers a VM that was not heard before. */
@@ -125,12 +186,16 @@
             .setLeaving(leaving)
             .setOrdersRevision(board.newestRow(SharedTable.ORDERS))
             .setServersRevision(board.newestRow(SharedTable.SERVERS))
-            .setReportsRevision(board.newestRow(SharedTable.REPORTS));
+            .setReportsRevision(board.newestRow(SharedTable.REPORTS))
+            .setRequestCapacity(PeerView.requestCapacity(settings))
+            .setRequestsPerSecond((int) Math.ceil(requestsPerSecond))
+            .setServing(serving)
+            .setStoreReached(storeReached);
     rollouts.describe(heartbeat, nowNanos);
     return heartbeat;
   }
 
-  /** Returns the time between two claims of a VM in a fleet of this size. */
+  /** Returns the time between two claims of a VM among so many that serve. */
   static long claimIntervalNanos(int vms) {
     return INTERVAL_NANOS * (1 + vms / VMS_PER_CLAIM_INTERVAL) - CLAIM_EARLY_NANOS;
   }
--- /dev/null
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerNews.java
@@ -0,0 +1,16 @@
+package org.toucanrack.internal.serve.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.toucanrack.id.CustomerId;
+import org.toucanrack.internal.coordination.steer.ColdGuard;
+import org.toucanrack.internal.coordination.steer.RateShares;
+
+/**
+ * What the traffic thread learns of the other VMs. Immutable and thread-safe.
+ *
+ * @param peers the other VMs that serve callers
+ * @param claims what each VM claims of the customers' rates, if the shares are due to change
+ */
+record PeerNews(ColdGuard.Peers peers, Optional<Map<CustomerId, List<RateShares.Claim>>> claims) {}
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -17,6 +17,7 @@
 import org.toucanrack.internal.coordination.steer.ColdGuard;
 import org.toucanrack.internal.coordination.steer.MemberTable;
 import org.toucanrack.internal.coordination.steer.RateShares;
+import org.toucanrack.internal.coordination.steer.ServingSet;
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
 import org.toucanrack.steering.EntrySettings;
@@ -27,7 +28,10 @@
   private final EntrySettings settings;
   private final MemberTable members;
   private final DecisionLog log;
+  private final Map<RegionId, Set<VmId>> serving = new HashMap<>();
   private Set<VmId> heardBefore = new HashSet<>();
+  private boolean selfReady;
+  private double selfRequestsPerSecond;
 
   PeerView(EntrySettings settings, MemberTable members, DecisionLog log) {
     this.settings = settings;
@@ -35,22 +39,104 @@
     this.log = log;
   }
 
-  /** Returns the callers' addresses of ready VMs in the region of a failure domain, else of all. */
-  List<InetSocketAddress> readyVms(
-      Optional<FailureDomainId> caller, boolean selfReady, long nowNanos) {
+  /** Learns how many requests this VM has. */
+  void selfRequests(double perSecond) {
+    selfRequestsPerSecond = perSecond;
+  }
+
+  /** Chooses anew which VMs serve each region. */
+  void refresh(boolean isSelfReady, long nowNanos) {
+    selfReady = isSelfReady;
+    final boolean servedBefore = selfServing();
+    Map<RegionId, List<ServingSet.Candidate>> candidates = new HashMap<>();
+    Map<RegionId, Double> requests = new HashMap<>();
+    for (EntryHeartbeat member : members.present(nowNanos)) {
+      RegionId region = regionOf(member);
+      if (region == null) {
+        continue;
+      }
+      requests.merge(region, (double) member.getRequestsPerSecond(), Double::sum);
+      if (member.getReady()) {
+        candidates
+            .computeIfAbsent(region, id -> new ArrayList<>())
+            .add(
+                new ServingSet.Candidate(
+                    new VmId(member.getVm()),
+                    new FailureDomainId(member.getFailureDomain()),
+                    member.getRequestCapacity()));
+      }
+    }
+    requests.merge(settings.region(), selfRequestsPerSecond, Double::sum);
+    if (selfReady) {
+      candidates
+          .computeIfAbsent(settings.region(), id -> new ArrayList<>())
+          .add(
+              new ServingSet.Candidate(
+                  settings.vm(), settings.failureDomain(), requestCapacity(settings)));
+    }
+    serving.clear();
+    candidates.forEach(
+        (region, ready) ->
+            serving.put(region, ServingSet.choose(ready, requests.getOrDefault(region, 0.0))));
+    if (servedBefore != selfServing()) {
+      log.event(
+          selfServing() ? "serves" : "stands-by",
+          "requests_per_second",
+          Math.round(requests.getOrDefault(settings.region(), 0.0)),
+          "serving",
+          serving.getOrDefault(settings.region(), Set.of()).size());
+    }
+  }
+
+  /** Returns the capacity as heartbeats tell it, so that all VMs compare the same numbers. */
+  static int requestCapacity(EntrySettings settings) {
+    return (int) Math.max(1, settings.requestCapacity());
+  }
+
+  /** Returns whether callers are sent to this VM. */
+  boolean selfServing() {
+    return serving.getOrDefault(settings.region(), Set.of()).contains(settings.vm());
+  }
+
+  /** Returns the number of other VMs that callers are sent to. */
+  int otherServing() {
+    return serving.values().stream().mapToInt(Set::size).sum() - (selfServing() ? 1 : 0);
+  }
+
+  /**
+   * Returns whether this VM may leave the store to others: it stands by, and a serving VM of its
+   * region that is heard reaches the store and tells what changes.
+   */
+  boolean learnsFromOthers(long nowNanos) {
+    return selfReady
+        && !selfServing()
+        && members.present(nowNanos).stream()
+            .anyMatch(
+                member ->
+                    member.getServing()
+                        && member.getStoreReached()
+                        && settings.region().equals(regionOf(member)));
+  }
+
+  /** Returns the callers' addresses of serving VMs in the region of a domain, else of all. */
+  List<InetSocketAddress> servingVms(Optional<FailureDomainId> caller, long nowNanos) {
     RegionId region = caller.map(settings.regions()::get).orElse(settings.region());
     List<InetSocketAddress> near = new ArrayList<>();
     List<InetSocketAddress> all = new ArrayList<>();
     for (EntryHeartbeat member : members.present(nowNanos)) {
-      if (member.getReady()) {
+      RegionId standsIn = regionOf(member);
+      boolean serves =
+          member.getReady()
+              && serving.getOrDefault(standsIn, Set.of()).contains(new VmId(member.getVm()));
+      if (serves) {
         InetSocketAddress address = PeerAddresses.parse(member.getCallersAddress());
         all.add(address);
-        if (region.equals(regionOf(member))) {
+        if (region.equals(standsIn)) {
           near.add(address);
         }
       }
     }
-    if (selfReady) {
+    if (selfReady && selfServing()) {
       all.add(settings.listen().callers());
       if (region.equals(settings.region())) {
         near.add(settings.listen().callers());
@@ -59,16 +145,16 @@
     return near.isEmpty() ? all : near;
   }
 
-  /** Returns the VMs that are heard and how many may run unheard. */
+  /** Returns the serving VMs that are heard and how many may run unheard. */
   ColdGuard.Peers peers(long nowNanos) {
     List<ColdGuard.Peer> heard = new ArrayList<>();
     for (EntryHeartbeat member : members.present(nowNanos)) {
       RegionId region = regionOf(member);
-      if (region != null) {
+      if (region != null && member.getServing()) {
         heard.add(new ColdGuard.Peer(new VmId(member.getVm()), region));
       }
     }
-    return new ColdGuard.Peers(heard, members.unheard(nowNanos));
+    return new ColdGuard.Peers(heard, members.unheard(nowNanos), selfServing());
   }
 
   /**
@@ -78,7 +164,7 @@
   Map<CustomerId, List<RateShares.Claim>> claims(Collection<CustomerId> customers) {
     Map<CustomerId, List<RateShares.Claim>> claims = new HashMap<>();
     for (EntryHeartbeat member : members.known()) {
-      ClaimCodec.decode(member.getClaimsList(), customers)
+      ClaimCodec.decode(member.getClaimsList(), member.getServing(), customers)
           .forEach(
               (customer, claim) ->
                   claims.computeIfAbsent(customer, id -> new ArrayList<>()).add(claim));
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -27,6 +27,9 @@
   /** In a large fleet some VM asks soon enough at any time, and tells the others. */
   private static final int VMS_PER_SERVERS_PAUSE = 25;
 
+  /** How often a VM that learns from others looks whether it still can. */
+  private static final long STANDBY_PAUSE_MS = 250;
+
   private static final long FIRST_PAUSE_MS = 80;
   private static final long LONGEST_PAUSE_MS = 1000;
 
@@ -58,8 +61,11 @@
     /** A row may have changed. */
     void merge(SharedRow row);
 
-    /** Returns the number of other VMs that are known. */
-    int otherVms();
+    /** Returns the number of other VMs that follow the store. */
+    int otherFollowers();
+
+    /** Returns whether other VMs tell what changes, so that the store need not be asked. */
+    boolean learnsFromOthers();
 
     /** The whole table was read as of a revision. */
     void replace(SharedTable table, List<SharedRow> rows, long revision);
@@ -97,6 +103,8 @@
     }
     if (after < 0) {
       store.read(table).thenAccept(answer -> read(mine, answer));
+    } else if (listener.learnsFromOthers()) {
+      later(mine, STANDBY_PAUSE_MS);
     } else {
       store.changes(table, after, WAIT).thenAccept(answer -> changed(mine, answer));
     }
@@ -142,7 +150,7 @@
     pauseMillis = FIRST_PAUSE_MS;
     listener.reached(table);
     if (table == SharedTable.SERVERS) {
-      later(mine, SERVERS_PAUSE_MS * (1 + listener.otherVms() / VMS_PER_SERVERS_PAUSE));
+      later(mine, SERVERS_PAUSE_MS * (1 + listener.otherFollowers() / VMS_PER_SERVERS_PAUSE));
     } else {
       next(mine);
     }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -98,6 +98,7 @@
 
   @Override
   public void handle(HttpMessage request, Exchange exchange) {
+    state.request(now());
     Optional<RuleIndex> rules = state.rules();
     String requestId = request.field(names.requestId()).orElse("-");
     if (refusing) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.id.VersionId;
@@ -16,6 +17,7 @@
 import org.toucanrack.internal.coordination.steer.ServerChooser;
 import org.toucanrack.internal.coordination.steer.ServerTable;
 import org.toucanrack.internal.coordination.steer.ServiceSplit;
+import org.toucanrack.internal.coordination.steer.SlidingCount;
 import org.toucanrack.internal.coordination.steer.TrialEvidence;
 import org.toucanrack.internal.coordination.steer.VersionTrial;
 import org.toucanrack.steering.CustomerRule;
@@ -29,7 +31,12 @@
  */
 final class TrafficState {
 
+  /** Window of the load that is told to other VMs; shorter than most bursts. */
+  private static final long LOAD_WINDOW_SECONDS = 3;
+
   private final EntrySettings settings;
+  private final SlidingCount requests =
+      new SlidingCount(TimeUnit.SECONDS.toNanos(LOAD_WINDOW_SECONDS));
   private final ServerTable table;
   private final ServerChooser chooser;
   private final RateShares rates;
@@ -91,19 +98,18 @@
   }
 
   /** Takes over the other VMs and, if they are due, their claims of the customers' rates. */
-  void adoptPeers(
-      ColdGuard.Peers newest,
-      Optional<Map<CustomerId, List<RateShares.Claim>>> claims,
-      long nowNanos) {
-    peers = newest;
+  void adoptPeers(PeerNews news, long nowNanos) {
+    peers = news.peers();
+    rates.serving(peers.selfServing());
     List<CustomerRule> customers =
         rules.map(RuleIndex::rules).map(SteeringRules::customers).orElse(List.of());
-    claims.ifPresent(
-        told ->
-            customers.forEach(
-                customer ->
-                    rates.rebalance(
-                        customer, told.getOrDefault(customer.id(), List.of()), nowNanos)));
+    news.claims()
+        .ifPresent(
+            told ->
+                customers.forEach(
+                    customer ->
+                        rates.rebalance(
+                            customer, told.getOrDefault(customer.id(), List.of()), nowNanos)));
   }
 
   /** Returns the service that the next request of a route goes to. */
@@ -129,6 +135,16 @@
     return 1 + peers.heard().size() + peers.unheard();
   }
 
+  /** Counts a request of a caller. */
+  void request(long nowNanos) {
+    requests.add(nowNanos);
+  }
+
+  /** Returns the requests a second that callers send to this VM. */
+  double requestsPerSecond(long nowNanos) {
+    return requests.count(nowNanos) / (double) LOAD_WINDOW_SECONDS;
+  }
+
   /** Counts an attempt at a service that has a version on trial. */
   void countTrial(ServiceId service, String route, VersionId version, TrialEvidence.Result result) {
     VersionTrial trial = facts.trials().get(service);
--- a/toucanrack/src/main/java/org/toucanrack/steering/EntrySettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/steering/EntrySettings.java
@@ -18,15 +18,17 @@
  * @param regions the region of each failure domain
  * @param listen the addresses it listens on
  * @param bounds the promises that it has to keep
+ * @param requestCapacity requests a second that this VM carries at moderate load
  */
 public record EntrySettings(
     VmId vm,
     FailureDomainId failureDomain,
     Map<FailureDomainId, RegionId> regions,
     Listen listen,
-    Bounds bounds) {
+    Bounds bounds,
+    double requestCapacity) {
 
-  /** Rejects a failure domain without region. */
+  /** Rejects a failure domain without region and a VM without capacity. */
   public EntrySettings {
     Objects.requireNonNull(vm, "vm");
     Objects.requireNonNull(listen, "listen");
@@ -35,6 +37,10 @@
     if (!regions.containsKey(failureDomain)) {
       throw new IllegalArgumentException("no region is given for " + failureDomain);
     }
+    if (!(requestCapacity > 0)) {
+      throw new IllegalArgumentException(
+          "the request capacity is " + requestCapacity + ", but has to be positive");
+    }
   }
 
   /** Returns the region of this VM. */
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
@@ -127,27 +127,40 @@
 
   private static final class Fleet {
 
-    private final RateShares[] shares = new RateShares[VMS];
-    private final RateShares.Claim[][] known = new RateShares.Claim[VMS][VMS];
+    private final int vms;
+    private final RateShares[] shares;
+    private final RateShares.Claim[][] known;
 
     Fleet() {
-      for (int i = 0; i < VMS; i++) {
+      this(VMS, VMS);
+    }
+
+    Fleet(int vms, int serving) {
+      this.vms = vms;
+      shares = new RateShares[vms];
+      known = new RateShares.Claim[vms][vms];
+      for (int i = 0; i < vms; i++) {
         shares[i] = new RateShares(RESERVE);
-        for (int j = 0; j < VMS; j++) {
-          known[i][j] = new RateShares.Claim(0.05, 0);
+        shares[i].serving(i < serving);
+        for (int j = 0; j < vms; j++) {
+          known[i][j] = new RateShares.Claim(0.05, 0, j < serving);
         }
       }
     }
 
     void rebalance(long nowNanos) {
-      for (int i = 0; i < VMS; i++) {
+      rebalance(CUSTOMER, nowNanos);
+    }
+
+    void rebalance(CustomerRule customer, long nowNanos) {
+      for (int i = 0; i < vms; i++) {
         List<RateShares.Claim> others = new ArrayList<>();
-        for (int j = 0; j < VMS; j++) {
+        for (int j = 0; j < vms; j++) {
           if (j != i) {
             others.add(known[i][j]);
           }
         }
-        shares[i].rebalance(CUSTOMER, others, nowNanos);
+        shares[i].rebalance(customer, others, nowNanos);
       }
     }
 
@@ -156,8 +169,8 @@
     }
 
     void exchange(BiPredicate<Integer, Integer> arrives) {
-      for (int i = 0; i < VMS; i++) {
-        for (int j = 0; j < VMS; j++) {
+      for (int i = 0; i < vms; i++) {
+        for (int j = 0; j < vms; j++) {
           if (arrives.test(i, j)) {
             known[j][i] = shares[i].claim(ID);
           }
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerChooserTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerChooserTest.java
@@ -79,7 +79,7 @@
   @Test
   void coldServersGetNoMoreThanTheyBearFromAllVmsTogether() {
     publish(servers(NEAR, 1, "v1", Duration.ofSeconds(3)), Set.of(), Map.of());
-    ColdGuard.Peers alone = new ColdGuard.Peers(List.of(), 9);
+    ColdGuard.Peers alone = new ColdGuard.Peers(List.of(), 9, true);
     int sent = 0;
 
     for (int i = 0; i < 100; i++) {
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServingSetTest.java
@@ -0,0 +1,67 @@
+package org.toucanrack.internal.coordination.steer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.id.FailureDomainId;
+import org.toucanrack.id.VmId;
+
+class ServingSetTest {
+
+  // Guards against small fleets that leave VMs unused.
+  @Test
+  void allVmsOfASmallRegionServe() {
+    List<ServingSet.Candidate> ready =
+        List.of(candidate("a1", "a", 180), candidate("a2", "a", 180), candidate("b1", "b", 180));
+
+    assertEquals(names("a1", "a2", "b1"), ServingSet.choose(ready, 0));
+  }
+
+  // Guards against rates that are divided by many VMs with few requests each.
+  @Test
+  void theStrongestTwoOfEachFailureDomainServeAtLowLoad() {
+    List<ServingSet.Candidate> ready = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      ready.add(candidate("small-a" + i, "a", 40));
+      ready.add(candidate("small-b" + i, "b", 40));
+    }
+    ready.add(candidate("large-a", "a", 400));
+    ready.add(candidate("large-b", "b", 400));
+
+    Set<VmId> chosen = ServingSet.choose(ready, 100);
+
+    assertEquals(4, chosen.size());
+    assertEquals(true, chosen.containsAll(names("large-a", "large-b")));
+  }
+
+  // Guards against VMs that stand by while the serving ones have more than they carry.
+  @Test
+  void moreVmsServeWhenTheLoadExceedsHalfOfTheCapacity() {
+    List<ServingSet.Candidate> ready = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      ready.add(candidate("vm" + i, "a", 50));
+    }
+
+    assertEquals(2, ServingSet.choose(ready, 50).size());
+    assertEquals(5, ServingSet.choose(ready, 120).size());
+    assertEquals(10, ServingSet.choose(ready, 10_000).size());
+  }
+
+  // Guards against a region without entry when the load exceeds what all of its VMs carry.
+  @Test
+  void noVmServesOnlyWhenNoneIsReady() {
+    assertEquals(Set.of(), ServingSet.choose(List.of(), 100));
+  }
+
+  private static ServingSet.Candidate candidate(String vm, String domain, double capacity) {
+    return new ServingSet.Candidate(new VmId(vm), new FailureDomainId(domain), capacity);
+  }
+
+  private static Set<VmId> names(String... names) {
+    return List.of(names).stream().map(VmId::new).collect(Collectors.toSet());
+  }
+}
