Lend tokens of a customer's rate between entry VMs

Change: a request without a token waits up to 25 ms while up to three VMs of the region are asked for one; the lender takes the token before it answers. Each serving VM counts one request a second as asked for, since small demands are noisy.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -19,13 +19,13 @@
 public final class RateShares {
 
   /** Part of the allowed excess in requests that is spread over the VMs as extra burst. */
-  private static final double USED_RESERVE = 0.6;
+  private static final double USED_RESERVE = 0.7;
 
   /** Share of a VM that has heard no other one since its start. */
   private static final double FIRST_SHARE = 0.03;
 
-  /** Demand that each serving VM counts as having, so that a first request is not refused. */
-  private static final double BASE_DEMAND = 0.2;
+  /** Requests a second that each serving VM counts as asked for; small demands are noisy. */
+  private static final double BASE_DEMAND = 1.0;
 
   /** Demand that a VM on standby counts as having; callers come to it after a loss only. */
   private static final double STANDBY_DEMAND = 0.01;
@@ -98,6 +98,15 @@
     return new Decision(false, Duration.ofMillis(millis), account.share);
   }
 
+  /** Gives a token to another VM, if there is one. */
+  public boolean lend(CustomerRule customer, long nowNanos) {
+    Account account = accounts.computeIfAbsent(customer.id(), id -> new Account());
+    refill(account, customer, nowNanos);
+    boolean lent = customer.isLimited() && account.tokens >= 1;
+    account.tokens -= lent ? 1 : 0;
+    return lent;
+  }
+
   /** Returns one admitted request, which turned out not to run. */
   public void giveBack(CustomerRule customer) {
     Account account = accounts.get(customer.id());
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RuleIndex.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RuleIndex.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.steering.CustomerRule;
 import org.toucanrack.steering.RouteRule;
@@ -19,6 +20,7 @@
   private final SteeringRules rules;
   private final Map<String, List<RouteRule>> routesByHost = new HashMap<>();
   private final Map<String, CustomerRule> customersByKey = new HashMap<>();
+  private final Map<CustomerId, CustomerRule> customersById = new HashMap<>();
   private final Map<ServiceId, ServiceRule> services = new HashMap<>();
 
   /** Indexes the rules. */
@@ -31,6 +33,7 @@
         Comparator.comparingInt(route -> -route.pathPrefix().length());
     routesByHost.values().forEach(routes -> routes.sort(longestFirst));
     for (CustomerRule customer : rules.customers()) {
+      customersById.put(customer.id(), customer);
       customer.keys().forEach(key -> customersByKey.put(key, customer));
     }
     rules.services().forEach(service -> services.put(service.id(), service));
@@ -60,6 +63,11 @@
     return Optional.ofNullable(customersByKey.get(key));
   }
 
+  /** Returns the rule of a customer. */
+  public Optional<CustomerRule> customer(CustomerId id) {
+    return Optional.ofNullable(customersById.get(id));
+  }
+
   /** Returns whether requests need a key at all. */
   public boolean needsKeys() {
     return !rules.customers().isEmpty();
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -19,11 +19,13 @@
 import org.toucanrack.internal.coordination.steer.RateShares;
 import org.toucanrack.internal.coordination.steer.TrialEvidence;
 import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.internal.protocol.generated.EntryDatagram;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
 import org.toucanrack.internal.protocol.generated.SharedRowCopy;
 import org.toucanrack.internal.protocol.generated.SharedRows;
 import org.toucanrack.internal.state.shared.SharedBoard;
 import org.toucanrack.internal.transport.relay.ConnectionPool;
+import org.toucanrack.internal.transport.relay.DatagramLink;
 import org.toucanrack.platform.StoreAnswer;
 import org.toucanrack.steering.AnnouncedServer;
 import org.toucanrack.steering.CustomerRule;
@@ -77,7 +79,10 @@
   private final Map<String, HeldServer> held = new HashMap<>();
   private final Consumer<FleetFacts> facts;
   private final Consumer<PeerNews> peers;
+  private final TokenLoans.Desk tokenDesk;
+  private DatagramLink link;
   private HeartbeatSender heartbeats;
+  private TokenLoans loans;
   private FleetFacts published = FleetFacts.NONE;
   private long lastPeersNanos;
   private long lastRebalanceNanos;
@@ -97,7 +102,8 @@
       EntryMetrics metrics,
       ConnectionPool pool,
       Consumer<FleetFacts> facts,
-      Consumer<PeerNews> peers) {
+      Consumer<PeerNews> peers,
+      TokenLoans.Desk tokenDesk) {
     this.reactor = reactor;
     this.settings = settings;
     this.platform = platform;
@@ -106,6 +112,7 @@
     this.metrics = metrics;
     this.facts = facts;
     this.peers = peers;
+    this.tokenDesk = tokenDesk;
     this.members = new MemberTable(settings.vm());
     this.orders = new OrderBook(platform.decoder(), log);
     this.rollouts = new RolloutDesk(settings.bounds().rolloutShare(), platform.decoder(), log);
@@ -116,8 +123,14 @@
   }
 
   void start() {
-    heartbeats =
-        new HeartbeatSender(reactor, settings, board, members, rollouts, this::received, log);
+    link =
+        DatagramLink.open(
+            reactor,
+            settings.listen().peers(),
+            this::received,
+            fault -> log.event("datagram-failed", "reason", fault.getMessage()));
+    heartbeats = new HeartbeatSender(settings, board, members, rollouts, link);
+    loans = new TokenLoans((datagram, to) -> link.send(datagram.toByteArray(), to), tokenDesk);
     follow(SharedTable.ORDERS);
     follow(SharedTable.SERVERS);
     register();
@@ -152,7 +165,12 @@
 
   void close() {
     heartbeats.send(now());
-    heartbeats.close();
+    link.close();
+  }
+
+  /** Asks other VMs for a token of a customer's rate. */
+  void askForTokens(CustomerId customer) {
+    loans.ask(customer, peerView.lenders(now()));
   }
 
   /** Takes over what the traffic thread counted. */
@@ -359,17 +377,26 @@
 
   private void received(byte[] bytes, InetSocketAddress sender) {
     try {
-      EntryHeartbeat heartbeat = EntryHeartbeat.parseFrom(bytes);
-      InetSocketAddress address = PeerAddresses.parse(heartbeat.getPeersAddress());
-      long now = now();
-      if (members.heard(heartbeat, address, now)) {
-        heartbeats.reply(address, now);
+      EntryDatagram datagram = EntryDatagram.parseFrom(bytes);
+      switch (datagram.getBodyCase()) {
+        case HEARTBEAT -> heard(datagram.getHeartbeat());
+        case TOKEN_ASK -> loans.asked(datagram.getTokenAsk(), sender);
+        case TOKEN_LOAN -> loans.received(datagram.getTokenLoan());
+        default -> log.event("datagram-unknown", "sender", sender);
       }
-      rollouts.heard(heartbeat, now);
-      fetchLater(heartbeat, address);
     } catch (InvalidProtocolBufferException | RuntimeException e) {
-      log.event("heartbeat-unreadable", "sender", sender, "reason", e.getMessage());
+      log.event("datagram-unreadable", "sender", sender, "reason", e.getMessage());
+    }
+  }
+
+  private void heard(EntryHeartbeat heartbeat) {
+    InetSocketAddress address = PeerAddresses.parse(heartbeat.getPeersAddress());
+    long now = now();
+    if (members.heard(heartbeat, address, now)) {
+      heartbeats.reply(address, now);
     }
+    rollouts.heard(heartbeat, now);
+    fetchLater(heartbeat, address);
   }
 
   /**
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.internal.coordination.steer.RateShares;
 import org.toucanrack.internal.coordination.steer.TrialEvidence;
@@ -79,7 +80,9 @@
     this.log = log;
     this.controlLoop = eventloop("control");
     this.trafficLoop = eventloop("traffic");
-    this.traffic = new TrafficSide(trafficLoop, settings, platform.headers(), log, metrics);
+    this.traffic =
+        new TrafficSide(
+            trafficLoop, settings, platform.headers(), log, metrics, this::askForTokens);
     ConnectionPool controlPool =
         new ConnectionPool(controlLoop, MAX_STORE_HEAD_BYTES, MAX_STORE_BODY_BYTES);
     this.control =
@@ -91,7 +94,8 @@
             metrics,
             controlPool,
             facts -> onTraffic(() -> traffic.state().adopt(facts, System.nanoTime())),
-            news -> onTraffic(() -> traffic.state().adoptPeers(news, System.nanoTime())));
+            news -> onTraffic(() -> traffic.state().adoptPeers(news, System.nanoTime())),
+            new TrafficTokens());
     EntrySettings.Listen listen = settings.listen();
     this.readiness = internal(listen.readiness(), this::answerReadiness);
     this.lookup = internal(listen.lookup(), this::answerLookup);
@@ -228,6 +232,28 @@
     return new HttpListener(controlLoop, address, handler, () -> ListenerLimits.INTERNAL);
   }
 
+  private void askForTokens(CustomerId customer) {
+    controlLoop.execute(() -> control.askForTokens(customer));
+  }
+
+  /** Hands loans of tokens over to the traffic thread, and the outcome back. */
+  private final class TrafficTokens implements TokenLoans.Desk {
+
+    @Override
+    public void lend(CustomerId customer, Consumer<Boolean> lent) {
+      onTraffic(
+          () -> {
+            boolean hadToken = traffic.state().lend(customer, System.nanoTime());
+            controlLoop.execute(() -> lent.accept(hadToken));
+          });
+    }
+
+    @Override
+    public void answered(CustomerId customer, boolean lent) {
+      onTraffic(() -> traffic.tokenAnswered(customer, lent));
+    }
+  }
+
   private void onTraffic(Runnable action) {
     trafficLoop.execute(action::run);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
@@ -1,18 +1,16 @@
 package org.toucanrack.internal.serve.entry;
 
-import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.internal.coordination.steer.ClaimCodec;
 import org.toucanrack.internal.coordination.steer.MemberTable;
 import org.toucanrack.internal.coordination.steer.RateShares;
-import org.toucanrack.internal.observe.DecisionLog;
+import org.toucanrack.internal.protocol.generated.EntryDatagram;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
 import org.toucanrack.internal.state.shared.SharedBoard;
 import org.toucanrack.internal.transport.relay.DatagramLink;
@@ -68,23 +66,16 @@
   private double requestsPerSecond;
 
   HeartbeatSender(
-      NioReactor reactor,
       EntrySettings settings,
       SharedBoard board,
       MemberTable members,
       RolloutDesk rollouts,
-      BiConsumer<byte[], InetSocketAddress> receiver,
-      DecisionLog log) {
+      DatagramLink link) {
     this.settings = settings;
     this.board = board;
     this.members = members;
     this.rollouts = rollouts;
-    this.link =
-        DatagramLink.open(
-            reactor,
-            settings.listen().peers(),
-            receiver,
-            fault -> log.event("datagram-failed", "reason", fault.getMessage()));
+    this.link = link;
   }
 
   void traffic(Map<CustomerId, RateShares.Claim> newest, double newestRequestsPerSecond) {
@@ -130,14 +121,10 @@
     standbyClaimsSentNanos = standbyClaimsDue ? nowNanos : standbyClaimsSentNanos;
     distantSentNanos = distantDue ? nowNanos : distantSentNanos;
     EntryHeartbeat.Builder heartbeat = heartbeat(nowNanos);
-    final byte[] plain = heartbeat.build().toByteArray();
-    final byte[] distant = heartbeat.setIntervalMillis(DISTANT_INTERVAL_MS).build().toByteArray();
+    final byte[] plain = bytes(heartbeat);
+    final byte[] distant = bytes(heartbeat.setIntervalMillis(DISTANT_INTERVAL_MS));
     final byte[] claiming =
-        heartbeat
-            .clearIntervalMillis()
-            .addAllClaims(ClaimCodec.encode(claims))
-            .build()
-            .toByteArray();
+        bytes(heartbeat.clearIntervalMillis().addAllClaims(ClaimCodec.encode(claims)));
     targets.forEach(
         (target, newest) -> {
           boolean near = serving || newest.map(this::isNear).orElse(true);
@@ -169,7 +156,11 @@
 
   /** Answers a VM that was not heard before. */
   void reply(InetSocketAddress target, long nowNanos) {
-    link.send(heartbeat(nowNanos).build().toByteArray(), target);
+    link.send(bytes(heartbeat(nowNanos)), target);
+  }
+
+  private static byte[] bytes(EntryHeartbeat.Builder heartbeat) {
+    return EntryDatagram.newBuilder().setHeartbeat(heartbeat).build().toByteArray();
   }
 
   /** Returns a heartbeat without claims. */
@@ -199,8 +190,4 @@
   static long claimIntervalNanos(int vms) {
     return INTERVAL_NANOS * (1 + vms / VMS_PER_CLAIM_INTERVAL) - CLAIM_EARLY_NANOS;
   }
-
-  void close() {
-    link.close();
-  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -3,12 +3,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.RegionId;
@@ -145,6 +147,19 @@
     return near.isEmpty() ? all : near;
   }
 
+  /** Returns the serving VMs that may have tokens to spare, of this region if there are any. */
+  List<InetSocketAddress> lenders(long nowNanos) {
+    List<EntryHeartbeat> serve =
+        members.present(nowNanos).stream().filter(EntryHeartbeat::getServing).toList();
+    List<EntryHeartbeat> near =
+        serve.stream().filter(member -> settings.region().equals(regionOf(member))).toList();
+    List<InetSocketAddress> lenders = new ArrayList<>();
+    (near.isEmpty() ? serve : near)
+        .forEach(member -> lenders.add(PeerAddresses.parse(member.getPeersAddress())));
+    Collections.shuffle(lenders, ThreadLocalRandom.current());
+    return lenders;
+  }
+
   /** Returns the serving VMs that are heard and how many may run unheard. */
   ColdGuard.Peers peers(long nowNanos) {
     List<ColdGuard.Peer> heard = new ArrayList<>();
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficSide.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.RegionId;
 import org.toucanrack.id.ServiceId;
@@ -60,6 +61,7 @@
   private final EntryMetrics metrics;
   private final HttpListener listener;
   private final Set<RequestRun> running = new HashSet<>();
+  private final TokenWaits tokenWaits;
   private boolean refusing;
 
   TrafficSide(
@@ -67,7 +69,8 @@
       EntrySettings settings,
       HeaderNames names,
       DecisionLog log,
-      EntryMetrics metrics) {
+      EntryMetrics metrics,
+      Consumer<CustomerId> tokenAsk) {
     this.reactor = reactor;
     this.names = names;
     this.headers = new ForwardedHeaders(names);
@@ -75,6 +78,7 @@
     this.pool = new ConnectionPool(reactor, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BYTES);
     this.log = log;
     this.metrics = metrics;
+    this.tokenWaits = new TokenWaits(reactor, tokenAsk);
     this.listener =
         new HttpListener(reactor, settings.listen().callers(), this, this::listenerLimits);
   }
@@ -88,6 +92,11 @@
     refusing = true;
   }
 
+  /** Learns whether another VM gave a token of a customer's rate. */
+  void tokenAnswered(CustomerId customer, boolean lent) {
+    tokenWaits.answered(customer, lent, now());
+  }
+
   HttpListener listener() {
     return listener;
   }
@@ -121,24 +130,45 @@
       return;
     }
     long now = now();
-    if (customer.isPresent()) {
-      RateShares.Decision decision = state.rates().admit(customer.get(), now);
-      if (!decision.admitted()) {
-        log.request(
-            "rate-refused",
-            requestId,
-            "customer",
-            customer.get().id(),
-            "share",
-            decision.share(),
-            "rules",
-            rulesVersion());
-        metrics.refused("rate");
-        exchange.respond(OwnAnswers.notRun(TOO_MANY_REQUESTS, decision.retryAfter()));
-        return;
-      }
+    if (customer.isEmpty()) {
+      run(request, exchange, requestId, rules.get(), route.get(), customer, now);
+      return;
+    }
+    RateShares.Decision decision = state.rates().admit(customer.get(), now);
+    TokenWaits.Wait wait =
+        new TokenWaits.Wait() {
+          @Override
+          public void admitted() {
+            run(request, exchange, requestId, rules.get(), route.get(), customer, now);
+          }
+
+          @Override
+          public void refused() {
+            refuseForRate(exchange, requestId, customer.get(), decision);
+          }
+        };
+    if (decision.admitted()) {
+      wait.admitted();
+    } else if (tokenWaits.await(customer.get().id(), wait, now)) {
+      exchange.onAbandoned(() -> tokenWaits.forget(customer.get().id(), wait));
+    } else {
+      wait.refused();
     }
-    run(request, exchange, requestId, rules.get(), route.get(), customer, now);
+  }
+
+  private void refuseForRate(
+      Exchange exchange, String requestId, CustomerRule customer, RateShares.Decision decision) {
+    log.request(
+        "rate-refused",
+        requestId,
+        "customer",
+        customer.id(),
+        "share",
+        decision.share(),
+        "rules",
+        rulesVersion());
+    metrics.refused("rate");
+    exchange.respond(OwnAnswers.notRun(TOO_MANY_REQUESTS, decision.retryAfter()));
   }
 
   private void run(
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -112,6 +112,14 @@
                             customer, told.getOrDefault(customer.id(), List.of()), nowNanos)));
   }
 
+  /** Gives a token of a customer to another VM, if there is one. */
+  boolean lend(CustomerId customer, long nowNanos) {
+    return rules
+        .flatMap(index -> index.customer(customer))
+        .map(rule -> rates.lend(rule, nowNanos))
+        .orElse(false);
+  }
+
   /** Returns the service that the next request of a route goes to. */
   ServiceId nextService(RouteRule route) {
     return splits
