--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -220,6 +220,11 @@
     return peerView.learnsFromOthers(now());
   }
 
+  @Override
+  public boolean othersReachStore() {
+    return peerView.othersReachStore(now());
+  }
+
   @Override
   public void merge(SharedRow row) {
     Optional<AnnouncedServer> before =
@@ -357,7 +362,7 @@
 
   private void refreshServing(long now) {
     peerView.refresh(isReady(), now);
-    heartbeats.serving(peerView.selfServing());
+    heartbeats.serving(peerView.selfServing(), now);
   }
 
   /** Shares are divided by what all others told, so once for each of their claims. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -42,6 +42,9 @@
   /** How often counts pass from the traffic thread to the control thread. */
   private static final long REPORT_MS = 250;
 
+  /** The same while no caller sends requests. */
+  private static final long IDLE_REPORT_MS = 1000;
+
   /** Time before the end of the grace in which a stopping process ends whatever still runs. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
@@ -203,7 +206,7 @@
     Map<TrafficState.EvidenceKey, TrialEvidence> evidence = traffic.state().evidence();
     double requests = traffic.state().requestsPerSecond(System.nanoTime());
     controlLoop.execute(() -> control.learnTraffic(claims, evidence, requests));
-    trafficLoop.delayBackground(REPORT_MS, this::reportTraffic);
+    trafficLoop.delayBackground(requests > 0 ? REPORT_MS : IDLE_REPORT_MS, this::reportTraffic);
   }
 
   private void answerReadiness(HttpMessage request, RequestHandler.Exchange exchange) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
@@ -23,14 +23,11 @@
   /** Also the failure detector of other VMs; bytes between failure domains are dear. */
   private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
-  private static final int DISTANT_INTERVAL_MS = 2500;
+  /** Interval from a VM that stands by to its region, which may need it in some seconds. */
+  private static final int STANDBY_INTERVAL_MS = 2500;
 
-  /**
-   * Interval between VMs of different regions that both stand by, or of which the sender does: they
-   * are needed only when a whole region is lost.
-   */
-  private static final long DISTANT_INTERVAL_NANOS =
-      TimeUnit.MILLISECONDS.toNanos(DISTANT_INTERVAL_MS);
+  /** Interval from a VM that stands by to other regions, which need to know only that it exists. */
+  private static final int DISTANT_INTERVAL_MS = 5000;
 
   /** Interval of claims to VMs that stand by; they need them when they start to serve. */
   private static final long STANDBY_CLAIM_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(6);
@@ -43,8 +40,8 @@
    */
   private static final int VMS_PER_CLAIM_INTERVAL = 25;
 
-  /** Timers fire late by turns; a heartbeat that is a little early still carries the claims. */
-  private static final long CLAIM_EARLY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  /** Timers fire late by turns; a heartbeat that is a little early still counts as due. */
+  private static final long EARLY_MS = 300;
 
   private final EntrySettings settings;
   private final SharedBoard board;
@@ -57,7 +54,8 @@
   private long sentNanos;
   private long claimsSentNanos;
   private long standbyClaimsSentNanos;
-  private long distantSentNanos;
+  private long regionSentNanos = longAgo();
+  private long distantSentNanos = longAgo();
   private long toldServersRevision;
   private boolean ready;
   private boolean leaving;
@@ -87,8 +85,14 @@
     ready = isReady;
   }
 
-  void serving(boolean isServing) {
-    serving = isServing;
+  /** Learns whether callers are sent to this VM; the others are told of a change at once. */
+  void serving(boolean isServing, long nowNanos) {
+    if (serving != isServing) {
+      serving = isServing;
+      regionSentNanos = longAgo();
+      distantSentNanos = longAgo();
+      send(nowNanos);
+    }
   }
 
   void storeReached(boolean isReached) {
@@ -116,31 +120,38 @@
     final boolean claimsDue = nowNanos - claimsSentNanos >= claimIntervalNanos(servingVms(targets));
     final boolean standbyClaimsDue =
         nowNanos - standbyClaimsSentNanos >= STANDBY_CLAIM_INTERVAL_NANOS;
-    final boolean distantDue = leaving || nowNanos - distantSentNanos >= DISTANT_INTERVAL_NANOS;
+    final boolean regionDue =
+        serving || leaving || isPast(regionSentNanos, STANDBY_INTERVAL_MS, nowNanos);
+    final boolean distantDue =
+        serving || leaving || isPast(distantSentNanos, DISTANT_INTERVAL_MS, nowNanos);
     claimsSentNanos = claimsDue ? nowNanos : claimsSentNanos;
     standbyClaimsSentNanos = standbyClaimsDue ? nowNanos : standbyClaimsSentNanos;
+    regionSentNanos = regionDue ? nowNanos : regionSentNanos;
     distantSentNanos = distantDue ? nowNanos : distantSentNanos;
     EntryHeartbeat.Builder heartbeat = heartbeat(nowNanos);
-    final byte[] plain = bytes(heartbeat);
-    final byte[] distant = bytes(heartbeat.setIntervalMillis(DISTANT_INTERVAL_MS));
-    final byte[] claiming =
-        bytes(heartbeat.clearIntervalMillis().addAllClaims(ClaimCodec.encode(claims)));
+    final byte[] region = bytes(heartbeat.setIntervalMillis(serving ? 0 : STANDBY_INTERVAL_MS));
+    final byte[] claiming = bytes(heartbeat.addAllClaims(ClaimCodec.encode(claims)));
+    final byte[] distant =
+        bytes(heartbeat.clearClaims().setIntervalMillis(serving ? 0 : DISTANT_INTERVAL_MS));
     targets.forEach(
         (target, newest) -> {
-          boolean near = serving || newest.map(this::isNear).orElse(true);
+          boolean near = newest.map(this::isNear).orElse(true);
           boolean targetServes = newest.map(EntryHeartbeat::getServing).orElse(true);
-          if (!near) {
-            if (distantDue) {
-              link.send(distant, target);
-            }
-          } else if (targetServes ? claimsDue : standbyClaimsDue) {
-            link.send(claiming, target);
-          } else {
-            link.send(plain, target);
+          boolean tellsClaims = (near || serving) && (targetServes ? claimsDue : standbyClaimsDue);
+          if (near ? regionDue : distantDue) {
+            link.send(tellsClaims ? claiming : near ? region : distant, target);
           }
         });
   }
 
+  private static boolean isPast(long sinceNanos, long intervalMillis, long nowNanos) {
+    return nowNanos - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(intervalMillis - EARLY_MS);
+  }
+
+  private static long longAgo() {
+    return System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(DISTANT_INTERVAL_MS);
+  }
+
   private boolean isNear(EntryHeartbeat member) {
     return settings
         .region()
@@ -188,6 +199,7 @@
 
   /** Returns the time between two claims of a VM among so many that serve. */
   static long claimIntervalNanos(int vms) {
-    return INTERVAL_NANOS * (1 + vms / VMS_PER_CLAIM_INTERVAL) - CLAIM_EARLY_NANOS;
+    return INTERVAL_NANOS * (1 + vms / VMS_PER_CLAIM_INTERVAL)
+        - TimeUnit.MILLISECONDS.toNanos(EARLY_MS);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -120,6 +120,11 @@
                         && settings.region().equals(regionOf(member)));
   }
 
+  /** Returns whether a VM that is heard reaches the store. */
+  boolean othersReachStore(long nowNanos) {
+    return members.present(nowNanos).stream().anyMatch(EntryHeartbeat::getStoreReached);
+  }
+
   /** Returns the callers' addresses of serving VMs in the region of a domain, else of all. */
   List<InetSocketAddress> servingVms(Optional<FailureDomainId> caller, long nowNanos) {
     RegionId region = caller.map(settings.regions()::get).orElse(settings.region());
@@ -127,9 +132,12 @@
     List<InetSocketAddress> all = new ArrayList<>();
     for (EntryHeartbeat member : members.present(nowNanos)) {
       RegionId standsIn = regionOf(member);
+      // What distant VMs tell of themselves is newer than what is known of all VMs there.
       boolean serves =
           member.getReady()
-              && serving.getOrDefault(standsIn, Set.of()).contains(new VmId(member.getVm()));
+              && (settings.region().equals(standsIn)
+                  ? serving.getOrDefault(standsIn, Set.of()).contains(new VmId(member.getVm()))
+                  : member.getServing());
       if (serves) {
         InetSocketAddress address = PeerAddresses.parse(member.getCallersAddress());
         all.add(address);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -28,11 +28,14 @@
   private static final int VMS_PER_SERVERS_PAUSE = 25;
 
   /** How often a VM that learns from others looks whether it still can. */
-  private static final long STANDBY_PAUSE_MS = 250;
+  private static final long STANDBY_PAUSE_MS = 1000;
 
   private static final long FIRST_PAUSE_MS = 80;
   private static final long LONGEST_PAUSE_MS = 1000;
 
+  /** Longest pause while another VM reaches the store and tells what changes. */
+  private static final long TOLD_PAUSE_MS = 2500;
+
   /** A store that is slow for all VMs is not asked more often than this. */
   private static final long RESTART_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -67,6 +70,9 @@
     /** Returns whether other VMs tell what changes, so that the store need not be asked. */
     boolean learnsFromOthers();
 
+    /** Returns whether a VM that is heard reaches the store. */
+    boolean othersReachStore();
+
     /** The whole table was read as of a revision. */
     void replace(SharedTable table, List<SharedRow> rows, long revision);
   }
@@ -163,7 +169,8 @@
             : ((StoreAnswer.Refused<SharedStore.Rows>) answer).reason();
     listener.missed(table, reason);
     later(mine, pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis));
-    pauseMillis = Math.min(LONGEST_PAUSE_MS, pauseMillis * 2);
+    pauseMillis =
+        Math.min(listener.othersReachStore() ? TOLD_PAUSE_MS : LONGEST_PAUSE_MS, pauseMillis * 2);
   }
 
   private void later(long mine, long millis) {
