Explain a request from the logs of all VMs

Cause: an operator had to find and order the lines of a request by hand. RequestStoryTest guards order, cause and lines that were cut.

--- a/toucanrack/src/main/java/org/toucanrack/internal/command/Program.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/command/Program.java
@@ -28,7 +28,8 @@
           new StatusCommand(),
           new KeyCommand(),
           new DrainCommand(),
-          new MoveCommand());
+          new MoveCommand(),
+          new ExplainCommand());
 
   private final Map<String, String> environment;
   private final PrintStream out;
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/observe/RequestStoryTest.java
@@ -0,0 +1,55 @@
+package org.toucanrack.internal.observe;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class RequestStoryTest {
+
+  // Guards against a story that mixes requests, or follows the order of files instead of time.
+  @Test
+  void ordersTheLinesOfOneRequestByTime() {
+    List<String> lines =
+        story(
+            "12.3 s b1: {\"time\":\"T2\",\"vm\":\"b1\",\"event\":\"answer\",\"request\":\"r1\","
+                + "\"status\":504,\"why\":\"timeout\",\"server\":\"s7\",\"sends\":1,\"ms\":1000}",
+            "{\"time\":\"T3\",\"vm\":\"b1\",\"event\":\"answer\",\"request\":\"r12\"}",
+            "{\"time\":\"T1\",\"vm\":\"b1\",\"event\":\"send\",\"request\":\"r1\",\"server\":\"s7\"}");
+
+    assertEquals("T1 b1 send server=s7", lines.get(0));
+    assertEquals(
+        "cause: the time passed while backend server s7 worked on the request"
+            + " (status 504 after 1000 ms, 1 sends)",
+        lines.get(2));
+    assertEquals(3, lines.size());
+  }
+
+  // Guards against an operator who cannot tell a refusal for rate from one for lack of servers.
+  @Test
+  void namesTheRateAsCause() {
+    List<String> lines =
+        story(
+            "{\"time\":\"T1\",\"vm\":\"b1\",\"event\":\"rate-refused\",\"request\":\"r1\","
+                + "\"customer\":\"c9\",\"share\":0.1}");
+
+    assertTrue(
+        lines.get(1).startsWith("cause: customer c9 had used up the part 0.1"), lines.get(1));
+  }
+
+  // Guards against a fault of the tool on lines that a killed process left unfinished.
+  @Test
+  void ignoresLinesThatWereCut() {
+    RequestStory story = RequestStory.read(Stream.of("{\"time\":\"T1\",\"request\":\"r1"), "r1");
+
+    assertFalse(story.isLogged());
+    assertTrue(story.lines().get(0).startsWith("cause: no VM logged request r1"));
+  }
+
+  private static List<String> story(String... logLines) {
+    return RequestStory.read(Stream.of(logLines), "r1").lines();
+  }
+}
