Blame a version on trial only for faults that the version before does not have at the same time

A good rollout was reverted 11.5 s after its order: for two seconds the answers of servers of both versions were lost (68 'read: Connection reset' retries), and the recent answers of the new version were compared with all answers of the version before, of which 3.2% had failed. Change: recent answers of the version on trial are compared with the recent ones of the version before as well.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RolloutPlan.java
@@ -136,7 +136,7 @@
     Map<String, TrialEvidence> before = samples.peekFirst().byRoute();
     for (Map.Entry<String, TrialEvidence> entry : byRoute.entrySet()) {
       TrialEvidence earlier = before.getOrDefault(entry.getKey(), TrialEvidence.NONE);
-      if (entry.getValue().showsFault() || entry.getValue().trialSince(earlier).showsFault()) {
+      if (entry.getValue().showsFault() || entry.getValue().showsFaultSince(earlier)) {
         phase = Phase.REVERTED;
         return phase;
       }
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/TrialEvidence.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/TrialEvidence.java
@@ -28,6 +28,9 @@
 
   private static final double STABLE_MARGIN = 0.1;
 
+  /** Recent answers of the version before, below which their share of faults tells nothing. */
+  private static final int MIN_RECENT_STABLE = 10;
+
   /** What came of an attempt. */
   public enum Result {
     GOOD,
@@ -61,9 +64,12 @@
           result == Result.SLOW ? 1 : 0);
     }
 
+    private int all() {
+      return good + failed + slow;
+    }
+
     private double share(int part) {
-      int all = good + failed + slow;
-      return all == 0 ? 0 : part / (double) all;
+      return all() == 0 ? 0 : part / (double) all();
     }
   }
 
@@ -72,9 +78,16 @@
     return new TrialEvidence(trial.plus(other.trial), stable.plus(other.stable));
   }
 
-  /** Returns the answers of the version on trial since an earlier state; all of the one before. */
-  public TrialEvidence trialSince(TrialEvidence earlier) {
-    return new TrialEvidence(trial.minus(earlier.trial), stable);
+  /**
+   * Returns whether the version on trial shows a fault since an earlier state that the version
+   * before did neither have then nor at other times.
+   */
+  public boolean showsFaultSince(TrialEvidence earlier) {
+    Tally recentTrial = trial.minus(earlier.trial);
+    Tally recentStable = stable.minus(earlier.stable);
+    boolean comparable = recentStable.all() >= MIN_RECENT_STABLE;
+    return new TrialEvidence(recentTrial, stable).showsFault()
+        && (!comparable || new TrialEvidence(recentTrial, recentStable).showsFault());
   }
 
   /** Returns the evidence of one attempt. */
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
@@ -109,6 +109,26 @@
     assertEquals(0, plan.trial(seconds(15)).share());
   }
 
+  // Guards against a good version that is blamed for a fault which all servers have for a moment:
+  // after ten good seconds the answers of both versions were lost, and the new one was reverted.
+  @Test
+  void failuresThatBothVersionsHaveForAMomentAreNoFault() {
+    RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
+    TrialEvidence evidence = TrialEvidence.NONE;
+    for (int i = 0; i < 1000; i++) {
+      evidence = evidence.plus(TrialEvidence.of(i % 10 == 0, Result.GOOD));
+    }
+    plan.judge(Map.of("r", evidence), seconds(6));
+
+    for (int i = 0; i < 300; i++) {
+      Result result = i % 3 == 0 ? Result.FAILED : Result.GOOD;
+      evidence = evidence.plus(TrialEvidence.of(i % 10 < 2, result));
+    }
+    plan.judge(Map.of("r", evidence), seconds(8));
+
+    assertEquals(Phase.RUNNING, plan.phase());
+  }
+
   // Guards against a good version that is not complete in time.
   @Test
   void completesGoodVersionBeforeItsTimeIsOver() {
