Keep the shares of serving VMs when claims of VMs on standby are stale

Each of 85 VMs claimed a first share of 0.03; those on standby gave it up, but distant ones never told so, and each serving VM divided its share by the stale sum once a second until nothing was left. Change: a VM on standby gives its whole share up and tells claims until then; a heartbeat of it without claims means none; only claims of serving VMs count as overcommitted. Serving VMs tell distant VMs on standby less often, and VMs on standby look at their tables half as often.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -60,7 +60,8 @@
   }
 
   /**
-   * Takes over a heartbeat.
+   * Takes over a heartbeat. Claims that a serving VM leaves out hold on; one that stands by has
+   * given up what it leaves out.
    *
    * @return whether it tells of a VM, or of a run of it, that was not heard before
    */
@@ -76,7 +77,7 @@
       return false;
     }
     entry.newest =
-        sameRun && heartbeat.getClaimsCount() == 0
+        sameRun && heartbeat.getServing() && heartbeat.getClaimsCount() == 0
             ? heartbeat.toBuilder().addAllClaims(entry.newest.getClaimsList()).build()
             : heartbeat;
     entry.peers = peers;
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/RateShares.java
@@ -27,9 +27,6 @@
   /** Requests a second that each serving VM counts as asked for; small demands are noisy. */
   private static final double BASE_DEMAND = 1.0;
 
-  /** Demand that a VM on standby counts as having; callers come to it after a loss only. */
-  private static final double STANDBY_DEMAND = 0.01;
-
   /** Part of the mean demand that each serving VM counts as having, against noise. */
   private static final double MEAN_PART = 1.0;
 
@@ -134,32 +131,41 @@
   }
 
   /**
-   * Returns the new share of a VM. All VMs compute from the same claims, and divide what is free by
-   * what each lacks, so that they do not raise their shares into the same part.
+   * Returns the new share of a VM; one that stands by gives its share up. All VMs compute from the
+   * same claims, and divide what is free by what each lacks, so that they do not raise their shares
+   * into the same part.
    */
   private static double rebalanced(Claim own, Collection<Claim> others) {
     double shares = own.share();
+    double servingShares = own.share();
     double demand = own.demand();
     int servingCount = own.serving() ? 1 : 0;
     for (Claim other : others) {
       shares += other.share();
+      servingShares += other.serving() ? other.share() : 0;
       demand += other.demand();
       servingCount += other.serving() ? 1 : 0;
     }
+    if (!own.serving() && servingCount > 0) {
+      return 0;
+    }
     double base = BASE_DEMAND + MEAN_PART * demand / Math.max(1, servingCount);
-    int standbyCount = others.size() + 1 - servingCount;
-    double whole = demand + servingCount * base + standbyCount * STANDBY_DEMAND;
+    double whole = demand + Math.max(1, servingCount) * base;
     double wanted = wanted(own, base, whole);
     if (wanted < own.share()) {
       return wanted;
     }
+    if (servingShares > 1) {
+      return own.share() / servingShares;
+    }
     double free = 1 - shares;
     if (free <= 0) {
-      return own.share() / shares;
+      // VMs on standby give up what they claimed; lowering this share as well would make it vanish.
+      return own.share();
     }
     double lacking = wanted - own.share();
     for (Claim other : others) {
-      lacking += Math.max(0, wanted(other, base, whole) - other.share());
+      lacking += other.serving() ? Math.max(0, wanted(other, base, whole) - other.share()) : 0;
     }
     return lacking <= 0
         ? own.share()
@@ -167,7 +173,7 @@
   }
 
   private static double wanted(Claim claim, double base, double whole) {
-    double target = (claim.demand() + (claim.serving() ? base : STANDBY_DEMAND)) / whole;
+    double target = (claim.demand() + base) / whole;
     boolean keeps = target < claim.share() && target > KEPT_PART * claim.share();
     return keeps ? claim.share() : target;
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ControlSide.java
@@ -44,6 +44,9 @@
 
   private static final long TICK_MS = 250;
 
+  /** The same while this VM stands by; a takeover may wait for the next heartbeat anyway. */
+  private static final long STANDBY_TICK_MS = 500;
+
   /** How often the traffic thread learns of the other VMs: with each of their heartbeats. */
   private static final long PEERS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -332,7 +335,7 @@
           .row(SharedTable.MEMBERS, forgotten.value())
           .ifPresent(row -> store.remove(row.key(), row.revision()));
     }
-    reactor.delayBackground(TICK_MS, this::tick);
+    reactor.delayBackground(peerView.learnsFromOthers(now) ? STANDBY_TICK_MS : TICK_MS, this::tick);
   }
 
   private void publishIfChanged() {
@@ -361,8 +364,13 @@
   }
 
   private void refreshServing(long now) {
+    final boolean servedBefore = peerView.selfServing();
     peerView.refresh(isReady(), now);
     heartbeats.serving(peerView.selfServing(), now);
+    if (peerView.selfServing() && !servedBefore) {
+      lastPeersNanos = now;
+      publishPeers(now);
+    }
   }
 
   /** Shares are divided by what all others told, so once for each of their claims. */
@@ -376,7 +384,7 @@
             .toList();
     peers.accept(
         new PeerNews(
-            peerView.peers(now),
+            peerView.peers(leaving, now),
             rebalances ? Optional.of(peerView.claims(customers)) : Optional.empty()));
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/HeartbeatSender.java
@@ -1,6 +1,8 @@
 package org.toucanrack.internal.serve.entry;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -23,7 +25,10 @@
   /** Also the failure detector of other VMs; bytes between failure domains are dear. */
   private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
 
-  /** Interval from a VM that stands by to its region, which may need it in some seconds. */
+  /**
+   * Interval from a VM that stands by to its region, which may need it in some seconds, and from
+   * serving VMs to those that stand by elsewhere.
+   */
   private static final int STANDBY_INTERVAL_MS = 2500;
 
   /** Interval from a VM that stands by to other regions, which need to know only that it exists. */
@@ -54,7 +59,7 @@
   private long sentNanos;
   private long claimsSentNanos;
   private long standbyClaimsSentNanos;
-  private long regionSentNanos = longAgo();
+  private long standbySentNanos = longAgo();
   private long distantSentNanos = longAgo();
   private long toldServersRevision;
   private boolean ready;
@@ -89,7 +94,7 @@
   void serving(boolean isServing, long nowNanos) {
     if (serving != isServing) {
       serving = isServing;
-      regionSentNanos = longAgo();
+      standbySentNanos = longAgo();
       distantSentNanos = longAgo();
       send(nowNanos);
     }
@@ -110,7 +115,7 @@
     return since >= INTERVAL_NANOS || (news && since > NEWS_INTERVAL_NANOS);
   }
 
-  /** Sends a heartbeat to all other VMs, to distant ones less often while this one stands by. */
+  /** Sends a heartbeat to all other VMs for which one is due. */
   void send(long nowNanos) {
     sentNanos = nowNanos;
     toldServersRevision = board.newestRow(SharedTable.SERVERS);
@@ -120,30 +125,71 @@
     final boolean claimsDue = nowNanos - claimsSentNanos >= claimIntervalNanos(servingVms(targets));
     final boolean standbyClaimsDue =
         nowNanos - standbyClaimsSentNanos >= STANDBY_CLAIM_INTERVAL_NANOS;
-    final boolean regionDue =
-        serving || leaving || isPast(regionSentNanos, STANDBY_INTERVAL_MS, nowNanos);
-    final boolean distantDue =
-        serving || leaving || isPast(distantSentNanos, DISTANT_INTERVAL_MS, nowNanos);
+    final boolean standbyDue = leaving || isPast(standbySentNanos, STANDBY_INTERVAL_MS, nowNanos);
+    final boolean distantDue = leaving || isPast(distantSentNanos, DISTANT_INTERVAL_MS, nowNanos);
     claimsSentNanos = claimsDue ? nowNanos : claimsSentNanos;
     standbyClaimsSentNanos = standbyClaimsDue ? nowNanos : standbyClaimsSentNanos;
-    regionSentNanos = regionDue ? nowNanos : regionSentNanos;
+    standbySentNanos = standbyDue ? nowNanos : standbySentNanos;
     distantSentNanos = distantDue ? nowNanos : distantSentNanos;
-    EntryHeartbeat.Builder heartbeat = heartbeat(nowNanos);
-    final byte[] region = bytes(heartbeat.setIntervalMillis(serving ? 0 : STANDBY_INTERVAL_MS));
-    final byte[] claiming = bytes(heartbeat.addAllClaims(ClaimCodec.encode(claims)));
-    final byte[] distant =
-        bytes(heartbeat.clearClaims().setIntervalMillis(serving ? 0 : DISTANT_INTERVAL_MS));
+    Datagrams datagrams = new Datagrams(heartbeat(nowNanos), ClaimCodec.encode(toldClaims()));
     targets.forEach(
         (target, newest) -> {
           boolean near = newest.map(this::isNear).orElse(true);
           boolean targetServes = newest.map(EntryHeartbeat::getServing).orElse(true);
-          boolean tellsClaims = (near || serving) && (targetServes ? claimsDue : standbyClaimsDue);
-          if (near ? regionDue : distantDue) {
-            link.send(tellsClaims ? claiming : near ? region : distant, target);
+          boolean tellsClaims = !serving || (targetServes ? claimsDue : standbyClaimsDue);
+          int interval = intervalMillis(near, targetServes);
+          boolean due =
+              interval == 0
+                  || (interval == STANDBY_INTERVAL_MS && standbyDue)
+                  || (interval == DISTANT_INTERVAL_MS && distantDue);
+          if (due) {
+            link.send(datagrams.of(interval, tellsClaims), target);
           }
         });
   }
 
+  /** Returns the interval towards a VM; 0 stands for each time. */
+  private int intervalMillis(boolean near, boolean targetServes) {
+    if (serving) {
+      return near || targetServes ? 0 : STANDBY_INTERVAL_MS;
+    }
+    return near ? STANDBY_INTERVAL_MS : DISTANT_INTERVAL_MS;
+  }
+
+  /** Shares that a VM on standby has given up need not be told. */
+  private Map<CustomerId, RateShares.Claim> toldClaims() {
+    if (serving) {
+      return claims;
+    }
+    Map<CustomerId, RateShares.Claim> held = new HashMap<>(claims);
+    held.values().removeIf(claim -> claim.share() == 0);
+    return held;
+  }
+
+  /** One heartbeat in the forms that different receivers get, each encoded once. */
+  private static final class Datagrams {
+
+    private final EntryHeartbeat.Builder heartbeat;
+    private final List<Integer> claims;
+    private final Map<List<Object>, byte[]> encoded = new HashMap<>();
+
+    Datagrams(EntryHeartbeat.Builder heartbeat, List<Integer> claims) {
+      this.heartbeat = heartbeat;
+      this.claims = claims;
+    }
+
+    byte[] of(int intervalMillis, boolean withClaims) {
+      return encoded.computeIfAbsent(
+          List.of(intervalMillis, withClaims),
+          form ->
+              bytes(
+                  heartbeat
+                      .clone()
+                      .setIntervalMillis(intervalMillis)
+                      .addAllClaims(withClaims ? claims : List.of())));
+    }
+  }
+
   private static boolean isPast(long sinceNanos, long intervalMillis, long nowNanos) {
     return nowNanos - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(intervalMillis - EARLY_MS);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -168,8 +168,11 @@
     return lenders;
   }
 
-  /** Returns the serving VMs that are heard and how many may run unheard. */
-  ColdGuard.Peers peers(long nowNanos) {
+  /**
+   * Returns the serving VMs that are heard and how many may run unheard. A VM that is leaving still
+   * has requests for a while.
+   */
+  ColdGuard.Peers peers(boolean leaving, long nowNanos) {
     List<ColdGuard.Peer> heard = new ArrayList<>();
     for (EntryHeartbeat member : members.present(nowNanos)) {
       RegionId region = regionOf(member);
@@ -177,7 +180,7 @@
         heard.add(new ColdGuard.Peer(new VmId(member.getVm()), region));
       }
     }
-    return new ColdGuard.Peers(heard, members.unheard(nowNanos), selfServing());
+    return new ColdGuard.Peers(heard, members.unheard(nowNanos), leaving || selfServing());
   }
 
   /**
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/RateSharesTest.java
@@ -108,6 +108,25 @@
     assertTrue(refused < asked / 50, refused + " of " + asked + " refused");
   }
 
+  // Guards against shares that vanish while stale claims add up to more than the whole: after all
+  // VMs of a large fleet had restarted, each claimed a first share, and those that serve went on
+  // lowering theirs until every request was refused.
+  @Test
+  void staleClaimsOfVmsOnStandbyDoNotTakeTheSharesOfServingOnes() {
+    RateShares shares = new RateShares(RESERVE);
+    List<RateShares.Claim> stale = new ArrayList<>();
+    for (int i = 0; i < 70; i++) {
+      stale.add(new RateShares.Claim(0.03, 0, false));
+    }
+    double first = shares.claim(ID).share();
+    for (int second = 1; second < 20; second++) {
+      shares.admit(CUSTOMER, TimeUnit.SECONDS.toNanos(second));
+      shares.rebalance(CUSTOMER, stale, TimeUnit.SECONDS.toNanos(second));
+    }
+
+    assertTrue(shares.claim(ID).share() >= first, "share " + shares.claim(ID).share());
+  }
+
   // Guards against two groups of VMs behind a partition that each divide the whole rate.
   @Property(tries = 40)
   void groupsThatAreCutOffFromEachOtherStayWithinTheRate(@ForAll long seed) {
