Revert a version on recent failures only if they are three tenths of its answers

In a window of about 27 answers five failures were enough. Change: in the window of three seconds a version needs a share of 0.3 of failed answers; over its whole trial 0.18 as before.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/TrialEvidence.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/TrialEvidence.java
@@ -17,6 +17,12 @@
   /** Share of failed answers below which a version is not called faulty. */
   private static final double MIN_FAILED_SHARE = 0.18;
 
+  /**
+   * The same for the answers of a few seconds, which come from few servers: a disturbance that hits
+   * those by chance stays below this for the most part, a bad version does not.
+   */
+  private static final double MIN_RECENT_FAILED_SHARE = 0.3;
+
   /** Slow answers below which nothing is concluded. */
   private static final int MIN_SLOW = 8;
 
@@ -86,8 +92,9 @@
     Tally recentTrial = trial.minus(earlier.trial);
     Tally recentStable = stable.minus(earlier.stable);
     boolean comparable = recentStable.all() >= MIN_RECENT_STABLE;
-    return new TrialEvidence(recentTrial, stable).showsFault()
-        && (!comparable || new TrialEvidence(recentTrial, recentStable).showsFault());
+    return new TrialEvidence(recentTrial, stable).showsFault(MIN_RECENT_FAILED_SHARE)
+        && (!comparable
+            || new TrialEvidence(recentTrial, recentStable).showsFault(MIN_RECENT_FAILED_SHARE));
   }
 
   /** Returns the evidence of one attempt. */
@@ -98,7 +105,11 @@
 
   /** Returns whether the version on trial fails or is slow much more often than the one before. */
   public boolean showsFault() {
-    return exceeds(trial.failed, stable.failed, MIN_FAILED, MIN_FAILED_SHARE)
+    return showsFault(MIN_FAILED_SHARE);
+  }
+
+  private boolean showsFault(double leastFailedShare) {
+    return exceeds(trial.failed, stable.failed, MIN_FAILED, leastFailedShare)
         || exceeds(trial.slow, stable.slow, MIN_SLOW, MIN_SLOW_SHARE);
   }
 
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
@@ -129,6 +129,27 @@
     assertEquals(Phase.RUNNING, plan.phase());
   }
 
+  // Guards against a good version that is blamed for a disturbance which hits its few servers a
+  // little more than the others, as in incident inc-334a.
+  @Test
+  void aFewRecentFailuresOfManyAnswersAreNoFault() {
+    RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
+    TrialEvidence evidence = TrialEvidence.NONE;
+    for (int i = 0; i < 1000; i++) {
+      evidence = evidence.plus(TrialEvidence.of(i % 10 == 0, Result.GOOD));
+    }
+    plan.judge(Map.of("r", evidence), seconds(6));
+
+    for (int i = 0; i < 280; i++) {
+      boolean onTrial = i % 10 == 0;
+      boolean failed = onTrial ? i % 50 == 0 : i % 20 == 1;
+      evidence = evidence.plus(TrialEvidence.of(onTrial, failed ? Result.FAILED : Result.GOOD));
+    }
+    plan.judge(Map.of("r", evidence), seconds(8));
+
+    assertEquals(Phase.RUNNING, plan.phase());
+  }
+
   // Guards against a good version that is not complete in time.
   @Test
   void completesGoodVersionBeforeItsTimeIsOver() {
