Show the log and the threads of a process that does not stop in a scenario

Cause: three of the known red scenarios said only that 'apply' did not stop in 30 s, which leaves nothing to trace.

--- a/scenarios/src/test/java/org/toucanrack/scenarios/fleet/ChildProcess.java
+++ b/scenarios/src/test/java/org/toucanrack/scenarios/fleet/ChildProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,9 @@
 
   private static final long STOP_SECONDS = 30;
 
+  /** Time in which a Java process writes its thread dump to the log. */
+  private static final long THREAD_DUMP_MS = 500;
+
   private final String name;
   private final Process process;
   private final Path log;
@@ -57,7 +61,10 @@
   public void await() {
     try {
       if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
-        throw new IllegalStateException(name + " did not stop in " + STOP_SECONDS + " s");
+        signal("-QUIT");
+        Fleet.pause(THREAD_DUMP_MS);
+        throw new IllegalStateException(
+            name + " did not stop in " + STOP_SECONDS + " s; its log:\n" + logText());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -86,6 +93,14 @@
     return log;
   }
 
+  private String logText() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @Override
   public void close() {
     process.destroyForcibly();
