--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SmallDecisionsTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.id.VersionId;
@@ -150,6 +151,28 @@
     assertEquals(Phase.RUNNING, plan.phase());
   }
 
+  // Guards against a good version that is blamed for a disturbance of both versions which comes
+  // when
+  // it gets most of its requests, as in the replay of incident inc-334a.
+  @Test
+  @Tag("known-red")
+  void failuresOfBothVersionsLateInTheTrialAreNoFault() {
+    RolloutPlan plan = new RolloutPlan(ORDER, 0.1, 0);
+    TrialEvidence evidence = TrialEvidence.NONE;
+    for (int i = 0; i < 1000; i++) {
+      evidence = evidence.plus(TrialEvidence.of(i % 10 == 0, Result.GOOD));
+    }
+    plan.judge(Map.of("r", evidence), seconds(6));
+
+    for (int i = 0; i < 300; i++) {
+      Result result = i % 3 == 0 ? Result.FAILED : Result.GOOD;
+      evidence = evidence.plus(TrialEvidence.of(i % 2 == 0, result));
+    }
+    plan.judge(Map.of("r", evidence), seconds(8));
+
+    assertEquals(Phase.RUNNING, plan.phase());
+  }
+
   // Guards against a good version that is not complete in time.
   @Test
   void completesGoodVersionBeforeItsTimeIsOver() {
