--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowCatchUp.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowCatchUp.java
@@ -122,7 +122,7 @@
   }
 
   private boolean isBehind(EntryHeartbeat heartbeat, SharedTable table) {
-    return heartbeatRevision(heartbeat, table) > replica.newestRevision(table);
+    return heartbeatRevision(heartbeat, table) > replica.latestRevision(table);
   }
 
   private static long heartbeatRevision(EntryHeartbeat heartbeat, SharedTable table) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowExchange.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowExchange.java
@@ -74,7 +74,7 @@
     fetching = true;
     StringBuilder path = new StringBuilder(PATH);
     for (SharedTable table : TABLES) {
-      path.append(replica.newestRevision(table)).append('/');
+      path.append(replica.latestRevision(table)).append('/');
     }
     HttpMessage request =
         HttpMessage.of(
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -160,6 +160,7 @@
     if (answer instanceof StoreAnswer.Done<SharedStore.Rows> done) {
       done.value().rows().forEach(listener::merge);
       knownRevision = Math.max(knownRevision, done.value().revision());
+      replica.advance(table, knownRevision);
       callSucceeded(callGeneration);
     } else if (answer instanceof StoreAnswer.Refused<SharedStore.Rows>) {
       // The store no longer has the changes since this revision: read the table again.
--- a/toucanrack/src/main/java/org/toucanrack/internal/state/shared/SharedTableReplica.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/state/shared/SharedTableReplica.java
@@ -15,28 +15,40 @@
 /**
  * Local replica of the shared tables. Rows are merged from the store and from other VMs.
  *
- * <p>Invariant: a row is replaced only by one with a higher revision, so updates may arrive late or
- * out of order. Removed rows are kept as tombstones with their revision. Confined to the control
+ * <p>Invariants: a row is replaced only by one with a higher revision, so updates may arrive late
+ * or out of order; a row that the store no longer had as of the complete revision of its table is
+ * not added again. Removed rows are kept as tombstones with their revision. Confined to the control
  * thread.
  */
 public final class SharedTableReplica {
 
   private final Map<SharedTable, Map<String, SharedRow>> tables = new EnumMap<>(SharedTable.class);
-  private final Map<SharedTable, Long> revisions = new EnumMap<>(SharedTable.class);
+  private final Map<SharedTable, Long> completeRevisions = new EnumMap<>(SharedTable.class);
 
   /** Creates an empty replica. */
   public SharedTableReplica() {
     for (SharedTable table : SharedTable.values()) {
       tables.put(table, new HashMap<>());
-      revisions.put(table, 0L);
+      completeRevisions.put(table, 0L);
     }
   }
 
-  /** Merges a row; returns whether it was newer than the stored one. */
+  /**
+   * Merges a row; returns whether it was newer than the stored one.
+   *
+   * <p>A row without a stored counterpart is ignored if it is not newer than the complete revision:
+   * the store has removed it by then, and there is no tombstone since this replica never had it.
+   */
   public boolean merge(SharedRow row) {
+    boolean wasRemoved =
+        !tables.get(row.key().table()).containsKey(row.key().name())
+            && row.revision() <= completeRevision(row.key().table());
+    return !wasRemoved && mergeCurrent(row);
+  }
+
+  private boolean mergeCurrent(SharedRow row) {
     Map<String, SharedRow> rows = tables.get(row.key().table());
     SharedRow stored = rows.get(row.key().name());
-    revisions.merge(row.key().table(), row.revision(), Math::max);
     if (stored != null && stored.revision() >= row.revision()) {
       return false;
     }
@@ -55,7 +67,7 @@
     Set<String> presentNames = new HashSet<>();
     for (SharedRow row : rows) {
       presentNames.add(row.key().name());
-      if (merge(row)) {
+      if (mergeCurrent(row)) {
         changed.add(row);
       }
     }
@@ -66,14 +78,19 @@
               && stored.revision() <= revision;
       if (isMissing) {
         SharedRow removed = new SharedRow(stored.key(), revision, null);
-        merge(removed);
+        mergeCurrent(removed);
         changed.add(removed);
       }
     }
-    revisions.merge(table, revision, Math::max);
+    advance(table, revision);
     return changed;
   }
 
+  /** Records that all changes of a table up to a revision have been merged from the store. */
+  public void advance(SharedTable table, long revision) {
+    completeRevisions.merge(table, revision, Math::max);
+  }
+
   /** Returns a row, unless it is unknown or removed. */
   public Optional<SharedRow> row(SharedTable table, String name) {
     return Optional.ofNullable(tables.get(table).get(name)).filter(row -> !row.isRemoved());
@@ -94,8 +111,13 @@
     return tables.get(table).values().stream().mapToLong(SharedRow::revision).max().orElse(0);
   }
 
-  /** Returns the highest revision seen for the table, of a row or of its whole contents. */
-  public long revision(SharedTable table) {
-    return revisions.get(table);
+  /** Returns the revision up to which the store has delivered all changes of the table. */
+  public long completeRevision(SharedTable table) {
+    return completeRevisions.get(table);
+  }
+
+  /** Returns the highest revision of which this replica has any change of the table. */
+  public long latestRevision(SharedTable table) {
+    return Math.max(newestRevision(table), completeRevision(table));
   }
 }
--- a/toucanrack/src/test/java/org/toucanrack/internal/state/shared/SharedTableReplicaTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/state/shared/SharedTableReplicaTest.java
@@ -56,6 +56,33 @@
     assertEquals(1, replica.rowsAfter(SharedTable.SERVERS, 6).size());
   }
 
+  // Guards against a removed row that an outdated VM gives to a VM that has read the table since.
+  @Test
+  void ignoresUnknownRowsThatTheStoreHadRemoved() {
+    replica.replace(SharedTable.SERVERS, List.of(row("b", 3, "b")), 9);
+
+    assertFalse(replica.merge(row("a", 6, "outdated")));
+    assertTrue(replica.merge(row("c", 10, "new")));
+    assertTrue(replica.row(SharedTable.SERVERS, "a").isEmpty());
+  }
+
+  // Guards against a row that was added and removed between two answers of the change feed.
+  @Test
+  void ignoresUnknownRowsUpToTheRevisionOfTheChangeFeed() {
+    replica.replace(SharedTable.SERVERS, List.of(), 4);
+    replica.advance(SharedTable.SERVERS, 9);
+
+    assertFalse(replica.merge(row("a", 6, "outdated")));
+  }
+
+  // Guards against rows of the store itself that are taken for outdated when it is read again.
+  @Test
+  void replacingTheTableAddsAllItsRows() {
+    replica.advance(SharedTable.SERVERS, 9);
+
+    assertEquals(1, replica.replace(SharedTable.SERVERS, List.of(row("a", 6, "a")), 9).size());
+  }
+
   private static SharedRow.RowKey key(String name) {
     return new SharedRow.RowKey(SharedTable.SERVERS, name);
   }
