--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
@@ -101,8 +101,6 @@
   private long lastPeerUpdateNanos;
   private long lastRebalanceNanos;
   private boolean storeReached;
-  private boolean storeLost;
-  private long storeRecoveredNanos;
   private long startedNanos;
   private boolean membersKnown;
   private boolean ready;
@@ -137,11 +135,10 @@
         new ReportWriter(settings.vm(), store, platform.rowCodec(), replica, members, log);
     this.peerView = new PeerView(settings, members, log);
     this.listing = new MemberListing(reactor, settings.vm(), store, replica, members, log);
-    this.retainedServers = new RetainedServers(log);
+    this.retainedServers = new RetainedServers(settings.bounds().settlingTime(), log);
     this.catchUp =
         new RowCatchUp(
             reactor, settings, replica, peerView, pool, this::restart, new FetchedRows(), log);
-    this.storeRecoveredNanos = now() - TimeUnit.MINUTES.toNanos(1);
   }
 
   void start() {
@@ -280,21 +277,19 @@
   @Override
   public void storeAnswered(SharedTable table) {
     metrics.countStoreCall(table, "done");
+    retainedServers.storeAnswered();
     if (!storeReached) {
       storeReached = true;
       updateStoreReachability();
-      // The first answer after the start does not end an outage in which rows could have expired.
-      storeRecoveredNanos = storeLost ? now() : storeRecoveredNanos;
-      storeLost = false;
       log.event("store-reached", "table", table);
     }
     publishIfChanged();
   }
 
   @Override
-  public void storeFailed(SharedTable table, String reason) {
+  public void storeFailed(SharedTable table, String reason, long calledNanos) {
     metrics.countStoreCall(table, "missed");
-    storeLost = true;
+    retainedServers.storeFailed(calledNanos);
     if (storeReached) {
       storeReached = false;
       updateStoreReachability();
@@ -351,9 +346,7 @@
     decodedRows.applyServer(row);
     retainedServers.rowChanged(row.key().name());
     if (row.isRemoved()) {
-      before.ifPresent(
-          server ->
-              retainedServers.rowRemoved(row, server, !storeLost, storeRecoveredNanos, now()));
+      before.ifPresent(server -> retainedServers.rowRemoved(row, server, now()));
     }
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -63,6 +63,7 @@
   private long knownRevision = -1;
   private long generation;
   private long startedNanos;
+  private long calledNanos;
   private long retryPauseMillis = INITIAL_RETRY_PAUSE_MS;
 
   /** Receives the results of a follower and gives it the state of the other VMs. */
@@ -71,8 +72,8 @@
     /** Called when the store has answered, after its rows were passed on. */
     void storeAnswered(SharedTable table);
 
-    /** Called when the store did not answer or refused a call. */
-    void storeFailed(SharedTable table, String reason);
+    /** Called when the store did not answer or refused a call that was made at the given time. */
+    void storeFailed(SharedTable table, String reason, long calledNanos);
 
     /** Merges a row, which may be older than the known one. */
     void merge(SharedRow row);
@@ -123,6 +124,7 @@
     if (callGeneration != generation) {
       return;
     }
+    calledNanos = System.nanoTime();
     if (knownRevision < 0) {
       store.read(table).thenAccept(answer -> tableRead(callGeneration, answer));
     } else if (listener.receivesUpdatesFromPeers()) {
@@ -188,7 +190,7 @@
         answer instanceof StoreAnswer.Unknown<SharedStore.Rows> unknown
             ? unknown.reason()
             : ((StoreAnswer.Refused<SharedStore.Rows>) answer).reason();
-    listener.storeFailed(table, reason);
+    listener.storeFailed(table, reason, calledNanos);
     callStoreLater(
         callGeneration,
         retryPauseMillis / 2 + ThreadLocalRandom.current().nextLong(retryPauseMillis));
--- a/toucanrack/src/main/java/org/toucanrack/steering/EntrySettings.java
+++ b/toucanrack/src/main/java/org/toucanrack/steering/EntrySettings.java
@@ -95,6 +95,8 @@
    * @param rateWindow the sliding window in which a customer may send its rate and its burst
    * @param rateReserve number of requests by which a customer may exceed them in a window
    * @param rolloutShare largest share of a service's requests that a version on trial may receive
+   * @param settlingTime time after a disruption of a VM or of the store until the limits that
+   *     depend on it have to be kept again
    */
   public record Bounds(
       Duration stopGracePeriod,
@@ -107,5 +109,6 @@
       double maxRegionShift,
       Duration rateWindow,
       double rateReserve,
-      double rolloutShare) {}
+      double rolloutShare,
+      Duration settlingTime) {}
 }
