--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -1,6 +1,7 @@
 package org.toucanrack.internal.coordination.steer;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -15,8 +16,9 @@
  * Tracks the other entry VMs: those listed in the store and those that send heartbeats.
  *
  * <p>A member is alive while its heartbeats arrive. A member that is listed, or that sent
- * heartbeats until recently, may still be running behind a partition and is suspected. Not
- * thread-safe.
+ * heartbeats until recently, may still be running behind a partition and is suspected. A member
+ * that announces that it is leaving gets no new callers, but uses its parts of the limits that all
+ * VMs share until it has stopped sending requests; it is suspected until then. Not thread-safe.
  */
 public final class MemberTable {
 
@@ -31,6 +33,7 @@
   static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   private final VmId self;
+  private final long stoppingSendNanos;
   private final Map<VmId, Entry> entries = new HashMap<>();
 
   private static final class Entry {
@@ -39,11 +42,19 @@
     private long lastHeartbeatNanos;
     private boolean heartbeatReceived;
     private long listedNanos;
+    private long leavingSinceNanos;
+    private boolean servedBeforeLeaving;
   }
 
-  /** Creates a table without members; entries for {@code self} are ignored. */
-  public MemberTable(VmId self) {
+  /**
+   * Creates a table without members; entries for {@code self} are ignored.
+   *
+   * @param stoppingSendTime how long a VM that has announced that it is leaving may still send
+   *     requests to servers
+   */
+  public MemberTable(VmId self, Duration stoppingSendTime) {
     this.self = self;
+    this.stoppingSendNanos = stoppingSendTime.toNanos();
   }
 
   /**
@@ -85,6 +96,11 @@
     if (sameRun && entry.latest.getSequence() >= heartbeat.getSequence()) {
       return false;
     }
+    boolean wasLeaving = sameRun && entry.latest.getLeaving();
+    if (heartbeat.getLeaving() && !wasLeaving) {
+      entry.leavingSinceNanos = nowNanos;
+      entry.servedBeforeLeaving = !sameRun || entry.latest.getServing();
+    }
     entry.latest =
         sameRun && heartbeat.getServing() && heartbeat.getClaimsCount() == 0
             ? heartbeat.toBuilder().addAllClaims(entry.latest.getClaimsList()).build()
@@ -122,16 +138,22 @@
   }
 
   /**
-   * Returns the latest heartbeat of each member, alive or suspected, that sent one and is not
-   * leaving.
+   * Returns the latest heartbeat of each member, alive or suspected, that sent one and may still
+   * send requests to servers.
    */
-  public Collection<EntryHeartbeat> latestHeartbeats() {
+  public Collection<EntryHeartbeat> latestHeartbeats(long nowNanos) {
     return entries.values().stream()
-        .filter(entry -> entry.latest != null && !entry.latest.getLeaving())
+        .filter(entry -> entry.latest != null)
+        .filter(entry -> !entry.latest.getLeaving() || stillSends(entry, nowNanos))
         .map(entry -> entry.latest)
         .toList();
   }
 
+  /** Returns whether a leaving member may still send requests that it accepted before its stop. */
+  private boolean stillSends(Entry entry, long nowNanos) {
+    return entry.servedBeforeLeaving && nowNanos - entry.leavingSinceNanos <= stoppingSendNanos;
+  }
+
   /** Returns whether the member's heartbeats arrive. */
   public boolean isAlive(VmId vm, long nowNanos) {
     Entry entry = entries.get(vm);
@@ -152,21 +174,28 @@
   }
 
   /**
-   * Returns the number of members that may be running and serving although no heartbeats arrive,
-   * including those that never sent one.
+   * Returns the number of members that may send requests to servers although they are not alive:
+   * those from which no heartbeats arrive, including those that never sent one, and those that are
+   * leaving.
    */
   public int suspectedCount(long nowNanos) {
     int suspectedCount = 0;
     for (Entry entry : entries.values()) {
-      boolean idle =
-          entry.latest != null && (entry.latest.getLeaving() || !entry.latest.getServing());
-      if (!idle && !isAlive(entry, nowNanos)) {
+      if (isSuspected(entry, nowNanos)) {
         suspectedCount++;
       }
     }
     return suspectedCount;
   }
 
+  private boolean isSuspected(Entry entry, long nowNanos) {
+    if (entry.latest != null && entry.latest.getLeaving()) {
+      return stillSends(entry, nowNanos);
+    }
+    boolean onStandby = entry.latest != null && !entry.latest.getServing();
+    return !onStandby && !isAlive(entry, nowNanos);
+  }
+
   /**
    * Returns the addresses that heartbeats are sent to, with the latest heartbeat of each member, if
    * any.
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
@@ -72,6 +72,13 @@
    */
   private static final long MAX_LISTING_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /**
+   * Time for which a stopping VM may send requests to servers: those that it accepts last can wait
+   * for a token of their customer's rate.
+   */
+  private static final Duration STOPPING_SEND_TIME =
+      EntryNode.STOP_SERVING_TIME.plus(Duration.ofMillis(500));
+
   /** Callers repeat their look-up after this time, so they soon stop using a stopped VM. */
   private static final Duration LOOKUP_TTL = Duration.ofSeconds(2);
 
@@ -126,7 +133,7 @@
     this.snapshotConsumer = snapshotConsumer;
     this.peerUpdateConsumer = peerUpdateConsumer;
     this.localTokens = localTokens;
-    this.members = new MemberTable(settings.vm());
+    this.members = new MemberTable(settings.vm(), STOPPING_SEND_TIME);
     this.decodedRows = new DecodedRows(platform.rowCodec(), log);
     this.rollouts =
         new RolloutCoordinator(
@@ -183,7 +190,7 @@
             .filter(CustomerRule::isLimited)
             .map(CustomerRule::id)
             .toList();
-    Map<CustomerId, List<RateShares.Claim>> claims = peerView.claims(limited);
+    Map<CustomerId, List<RateShares.Claim>> claims = peerView.claims(limited, now());
     Map<CustomerId, RateShares.Claim> ownClaims = heartbeats.ownClaims();
     return limited.stream()
         .anyMatch(
@@ -236,8 +243,9 @@
   /** Announces to the other VMs that this one stops, so that callers are no longer sent to it. */
   void leave() {
     leaving = true;
-    refreshServing(now());
+    // Marked first, so that no heartbeat tells the others that this VM is only on standby.
     heartbeats.markLeaving();
+    refreshServing(now());
     heartbeats.send(now());
     listing.leave();
   }
@@ -352,7 +360,7 @@
 
   private void tick() {
     long now = now();
-    boolean judged = rollouts.judge(members.latestHeartbeats(), now);
+    boolean judged = rollouts.judge(members.latestHeartbeats(now), now);
     dirty |= judged || !rollouts.trials(now).equals(publishedSnapshot.trials());
     dirty |= retainedServers.removeExpired(now);
     publishIfChanged();
@@ -442,7 +450,7 @@
             peerView.peers(leaving, now),
             peerView.ownDemandShare(),
             members.possiblyServingCount(),
-            divides ? Optional.of(peerView.claims(customers)) : Optional.empty()));
+            divides ? Optional.of(peerView.claims(customers, now)) : Optional.empty()));
   }
 
   private void datagramReceived(byte[] bytes, InetSocketAddress sender) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -54,7 +54,7 @@
   /**
    * A stopping VM accepts requests for this long, until most callers have repeated their look-ups.
    */
-  private static final Duration STOP_SERVING_TIME = Duration.ofMillis(2800);
+  static final Duration STOP_SERVING_TIME = Duration.ofMillis(2800);
 
   /** A stopping VM refuses requests for at least this long before it closes its port. */
   private static final Duration STOP_REFUSING_TIME = Duration.ofMillis(700);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -220,11 +220,11 @@
   /**
    * Returns what the other VMs claim of each customer's rate. A VM whose heartbeats do not arrive
    * may still run, so its last claim still counts; that VM counts the last claim of this one
-   * likewise.
+   * likewise. The claim of a VM that is leaving counts while it may send requests.
    */
-  Map<CustomerId, List<RateShares.Claim>> claims(Collection<CustomerId> customers) {
+  Map<CustomerId, List<RateShares.Claim>> claims(Collection<CustomerId> customers, long nowNanos) {
     Map<CustomerId, List<RateShares.Claim>> claims = new HashMap<>();
-    for (EntryHeartbeat member : members.latestHeartbeats()) {
+    for (EntryHeartbeat member : members.latestHeartbeats(nowNanos)) {
       ClaimCodec.decode(member.getClaimsList(), member.getServing(), customers)
           .forEach(
               (customer, claim) ->
