--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerChooser.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.toucanrack.id.BackendServerId;
 import org.toucanrack.id.RegionId;
 import org.toucanrack.id.ServiceId;
@@ -28,16 +28,11 @@
   /** Largest burst of requests that leave the region for lack of capacity. */
   private static final double MAX_FALLBACK_CREDIT = 2;
 
-  /** Longest normal time without any answer, in multiples of the latency objective. */
-  private static final int UNRESPONSIVE_OBJECTIVES = 3;
-
   /** Lower bound on the part of all requests that a region is assumed to have. */
   private static final double MIN_DEMAND_FRACTION = 0.01;
 
-  private static final long MIN_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final ServerTable table;
-  private final ColdStartLimiter coldStartLimiter;
+  private final ServerEligibility eligibility;
   private final RegionId region;
   private final double maxRegionShift;
   private final Map<ServiceId, RegionOverflow> overflows = new HashMap<>();
@@ -58,7 +53,7 @@
       int regionCount,
       double maxRegionShift) {
     this.table = table;
-    this.coldStartLimiter = coldStartLimiter;
+    this.eligibility = new ServerEligibility(coldStartLimiter);
     this.region = region;
     this.ownDemandFraction = 1.0 / regionCount;
     this.maxRegionShift = maxRegionShift;
@@ -105,8 +100,22 @@
      * No server can take the attempt now.
      *
      * @param reason why not
+     * @param excluded number of servers that get no request now, by reason
+     * @param nanosUntilEligible time until one of them may get the request, if it is known
      */
-    record None(String reason) implements Choice {}
+    record None(String reason, Map<Exclusion, Integer> excluded, OptionalLong nanosUntilEligible)
+        implements Choice {
+
+      /** Copies the map. */
+      public None {
+        excluded = Map.copyOf(excluded);
+      }
+
+      /** No server can take the attempt, although some may get requests. */
+      None(String reason) {
+        this(reason, Map.of(), OptionalLong.empty());
+      }
+    }
   }
 
   /** Chooses a server. */
@@ -119,7 +128,14 @@
         attempt.service(),
         FALLBACK_SHARE,
         (credit, added) -> Math.min(MAX_FALLBACK_CREDIT, credit + added));
-    List<ServerState> eligible = eligible(attempt, peers, nowNanos);
+    List<ServerState> usable = table.usable(attempt.service());
+    List<ServerState> eligible = eligibility.eligible(usable, attempt, peers, nowNanos);
+    if (eligible.isEmpty()) {
+      return new Choice.None(
+          "no-server",
+          eligibility.exclusions(usable, attempt, peers, nowNanos),
+          eligibility.nanosUntilEligible(usable, attempt, peers, nowNanos));
+    }
     VersionTrial trial = trials.get(attempt.service());
     if (trial == null) {
       return chooseRegion(attempt, eligible, nowNanos);
@@ -173,26 +189,6 @@
         .toList();
   }
 
-  private List<ServerState> eligible(Attempt attempt, ColdStartLimiter.Peers peers, long nowNanos) {
-    long unresponsiveNanos =
-        Math.max(MIN_UNRESPONSIVE_NANOS, UNRESPONSIVE_OBJECTIVES * attempt.objectiveNanos());
-    List<ServerState> eligible = new ArrayList<>();
-    for (ServerState server : table.usable(attempt.service())) {
-      boolean usable =
-          !attempt.triedServers().contains(server.announced().id())
-              && (attempt.allowedRegions().isEmpty()
-                  || attempt.allowedRegions().contains(server.region()))
-              && !server.isPaused(nowNanos)
-              && !server.isUnresponsive(nowNanos, unresponsiveNanos)
-              && (!server.isCold(nowNanos)
-                  || coldStartLimiter.maySend(server, attempt.rule(), peers, nowNanos));
-      if (usable) {
-        eligible.add(server);
-      }
-    }
-    return eligible;
-  }
-
   private Choice chooseRegion(Attempt attempt, List<ServerState> eligible, long nowNanos) {
     if (eligible.isEmpty()) {
       return new Choice.None("no-server");
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerState.java
@@ -81,6 +81,9 @@
   private long faultsUpdatedNanos;
   private int consecutiveFailures;
   private long pausedUntilNanos;
+  private long requestedPauseUntilNanos;
+  private boolean resuming;
+  private boolean leaving;
   private long coldUntilNanos;
   private long lastAnswerNanos;
   private boolean restartSuspected;
@@ -116,6 +119,7 @@
     this.serviceTimes = serviceTimes;
     this.hash = StableHash.hash(announced.id().value());
     this.pausedUntilNanos = nowNanos;
+    this.requestedPauseUntilNanos = nowNanos;
     this.coldUntilNanos = nowNanos;
     this.lastAnswerNanos = nowNanos;
     this.loadReportedNanos = nowNanos;
@@ -186,6 +190,7 @@
     lastAnswerNanos = nowNanos;
     consecutiveFailures = 0;
     restartSuspected = false;
+    resuming = false;
     decayFaults(nowNanos);
     failureRate += FAULT_SMOOTHING_FACTOR * ((succeeded ? 0 : 1) - failureRate);
     shedRate -= FAULT_SMOOTHING_FACTOR * shedRate;
@@ -213,6 +218,50 @@
     pausedUntilNanos = Math.max(pausedUntilNanos, nowNanos + SHED_PAUSE_NANOS);
   }
 
+  /** Records that the server has said that it is leaving; holds for the rest of its run. */
+  public void recordLeaving() {
+    leaving = true;
+  }
+
+  /** Returns whether the server has said that it is leaving. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Records that the server wants no requests for some time; an earlier, longer pause holds. */
+  public void recordRequestedPause(Duration pause, long nowNanos) {
+    long untilNanos = nowNanos + pause.toNanos();
+    if (untilNanos - requestedPauseUntilNanos > 0) {
+      requestedPauseUntilNanos = untilNanos;
+    }
+    resuming = true;
+  }
+
+  /** Returns whether a pause that the server asked for is not over yet. */
+  public boolean isInRequestedPause(long nowNanos) {
+    return nowNanos - requestedPauseUntilNanos < 0;
+  }
+
+  /** Returns whether a request was sent after a pause that the server asked for, or before it. */
+  boolean awaitsFirstAnswer() {
+    return resuming && !inFlight.isEmpty();
+  }
+
+  /** Returns whether the server has asked for a pause and has not answered a request since. */
+  public boolean isResuming() {
+    return resuming;
+  }
+
+  /** Returns whether something that the server said about its own run still holds. */
+  boolean hasNotice(long nowNanos) {
+    return leaving || isInRequestedPause(nowNanos);
+  }
+
+  /** Returns the time until all pauses are over. */
+  long pauseNanos(long nowNanos) {
+    return Math.max(0, Math.max(requestedPauseUntilNanos - nowNanos, pausedUntilNanos - nowNanos));
+  }
+
   /**
    * Records an attempt that ended without an answer.
    *
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerTable.java
@@ -1,9 +1,11 @@
 package org.toucanrack.internal.coordination.steer;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -28,13 +30,33 @@
    */
   private static final Duration COLD_MARGIN = Duration.ofMillis(500);
 
+  /** Servers that left the table with a notice that still holds. */
+  private static final int MAX_DEPARTED = 1024;
+
   private final Map<FailureDomainId, RegionId> regions;
+  private final Map<ServerRun, ServerState> departed =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ServerRun, ServerState> eldest) {
+          return size() > MAX_DEPARTED;
+        }
+      };
   private final Map<BackendServerId, ServerState> states = new HashMap<>();
   private final Map<ServiceId, List<ServerState>> usable = new HashMap<>();
   private final Map<ServiceId, ServiceTimeEstimator> serviceTimes = new HashMap<>();
   private final Set<FailureDomainId> previouslyEvacuated = new HashSet<>();
   private final Map<ServiceId, Set<VersionId>> establishedVersions = new HashMap<>();
 
+  /** Identifies one run of a server; another run knows nothing of what this one has said. */
+  private record ServerRun(BackendServerId id, long startedAtMillis, InetSocketAddress address) {
+
+    static ServerRun of(AnnouncedServer server) {
+      return new ServerRun(server.id(), server.startedAtMillis(), server.address());
+    }
+  }
+
   /** Creates an empty table; servers in failure domains without a region are ignored. */
   public ServerTable(Map<FailureDomainId, RegionId> regions) {
     this.regions = regions;
@@ -67,11 +89,26 @@
     }
     previouslyEvacuated.clear();
     previouslyEvacuated.addAll(snapshot.evacuated());
+    rememberNotices(kept, nowNanos);
     states.clear();
     states.putAll(kept);
     excludeVersionsWithoutOrder(snapshot);
   }
 
+  /**
+   * Keeps the states of servers that are no longer announced and whose notices still hold: a row
+   * that expired during a store outage returns with the same run of its server.
+   */
+  private void rememberNotices(Map<BackendServerId, ServerState> kept, long nowNanos) {
+    departed.values().removeIf(state -> !state.hasNotice(nowNanos));
+    states.forEach(
+        (id, state) -> {
+          if (kept.get(id) != state && state.hasNotice(nowNanos)) {
+            departed.put(ServerRun.of(state.announced()), state);
+          }
+        });
+  }
+
   /** Returns the servers of a service that may get requests, of all versions. */
   public List<ServerState> usable(ServiceId service) {
     return usable.getOrDefault(service, List.of());
@@ -79,11 +116,11 @@
 
   private ServerState stateOf(AnnouncedServer server, RegionId region, long nowNanos) {
     ServerState existing = states.get(server.id());
-    boolean sameRun =
-        existing != null
-            && existing.announced().startedAtMillis() == server.startedAtMillis()
-            && existing.announced().address().equals(server.address());
-    if (!sameRun) {
+    ServerRun run = ServerRun.of(server);
+    if (existing == null || !ServerRun.of(existing.announced()).equals(run)) {
+      existing = departed.remove(run);
+    }
+    if (existing == null) {
       ServiceTimeEstimator serviceTime =
           serviceTimes.computeIfAbsent(server.service(), id -> new ServiceTimeEstimator());
       ServerState fresh = new ServerState(server, region, serviceTime, nowNanos);
--- a/toucanrack/src/main/java/org/toucanrack/internal/observe/RequestTimeline.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/observe/RequestTimeline.java
@@ -32,7 +32,8 @@
           Map.entry("timeout-unsent", "the time passed before a backend server could be chosen"),
           Map.entry(
               "timeout", "the time passed while backend server {server} worked on the request"),
-          Map.entry("no-server", "no backend server of the service may be used"),
+          Map.entry(
+              "no-server", "no backend server of the service may be used, see servers-excluded"),
           Map.entry(
               "full", "each backend server of the object would have let it wait for too long"),
           Map.entry("servers-unreached", "the backend servers could not be reached"),
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
@@ -7,7 +7,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Locale;
 import org.toucanrack.id.ServiceId;
+import org.toucanrack.internal.coordination.steer.Exclusion;
 import org.toucanrack.steering.SharedTable;
 
 /** Counters and latency histograms of one VM. Thread-safe. */
@@ -36,6 +38,18 @@
           .help("Choices of a backend server, by service and reason.")
           .labelNames("service", "reason")
           .register(registry);
+  private final Counter notices =
+      Counter.builder()
+          .name("toucanrack_server_notices_total")
+          .help("Servers that said that they leave or asked for a pause, by kind of notice.")
+          .labelNames("notice")
+          .register(registry);
+  private final Counter exclusions =
+      Counter.builder()
+          .name("toucanrack_excluded_servers_total")
+          .help("Servers that could not get a request for which there was none, by reason.")
+          .labelNames("reason")
+          .register(registry);
   private final Histogram loadError =
       Histogram.builder()
           .name("toucanrack_server_load_error")
@@ -63,6 +77,14 @@
     choices.labelValues(service.value(), reason).inc();
   }
 
+  void countNotice(String notice) {
+    notices.labelValues(notice).inc();
+  }
+
+  void countExclusions(Exclusion reason, int servers) {
+    exclusions.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc(servers);
+  }
+
   void observeLoadError(ServiceId service, double error) {
     loadError.labelValues(service.value()).observe(error);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
@@ -74,6 +74,7 @@
   private final Set<BackendServerId> triedServers = new HashSet<>();
   private int sendCount;
   private int unreachedServers;
+  private long untilEligibleMillis;
   private Verdict lastVerdict = Verdict.NOT_RUN;
   private boolean mayHaveRun;
   private HttpMessage lastServerError;
@@ -135,9 +136,17 @@
             now);
     if (choice instanceof ServerChooser.Choice.Use use) {
       send(use, now);
-    } else {
-      refuse(choice.reason());
+    } else if (choice instanceof ServerChooser.Choice.None none) {
+      refuseWithoutServer(none);
+    }
+  }
+
+  private void refuseWithoutServer(ServerChooser.Choice.None none) {
+    if (!none.excluded().isEmpty()) {
+      handler.log().request("servers-excluded", requestId, "reasons", none.excluded());
     }
+    untilEligibleMillis = TimeUnit.NANOSECONDS.toMillis(none.nanosUntilEligible().orElse(0));
+    refuse(none.reason());
   }
 
   private int priority() {
@@ -212,6 +221,7 @@
   private void answered(ServerState from, ServerState.SentAttempt sent, HttpMessage answer) {
     long now = handler.now();
     handler.updateServerLoad(from, answer, now);
+    handler.notices().record(from, answer, now);
     int status = answer.status();
     boolean notRun = answer.field(handler.names().notRun()).isPresent() || status == MISDIRECTED;
     if (notRun) {
@@ -234,6 +244,7 @@
     lastVerdict = Verdict.RAN;
     mayHaveRun = true;
     boolean succeeded = status < FIRST_SERVER_ERROR;
+    handler.notices().answered(from);
     from.recordAnswer(sent, now, succeeded);
     handler.countTrial(this, from, resultOf(status, now - sent.sentNanos()));
     if (!succeeded && mayRetry(now)) {
@@ -344,12 +355,14 @@
   }
 
   /**
-   * Spreads the retries of refused requests over half a latency objective, from a quarter of it on.
+   * Spreads the retries of refused requests over half a latency objective, from a quarter of it on,
+   * or from the time on at which the first pause of a server is over.
    */
   private Duration retryAfter() {
     long objectiveMillis = route.latencyObjective().toMillis();
     return Duration.ofMillis(
-        objectiveMillis / 4 + ThreadLocalRandom.current().nextLong(objectiveMillis / 2));
+        Math.max(objectiveMillis / 4, untilEligibleMillis)
+            + ThreadLocalRandom.current().nextLong(objectiveMillis / 2));
   }
 
   private void timedOut() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/SteeringReporter.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/SteeringReporter.java
@@ -26,6 +26,9 @@
   void recordChoice(ServiceId service, ServerChooser.Choice choice) {
     statisticsOf(service).recordChoice(choice);
     metrics.countChoice(service, choice.reason());
+    if (choice instanceof ServerChooser.Choice.None none) {
+      none.excluded().forEach(metrics::countExclusions);
+    }
   }
 
   /** Counts the load that a server reports; to be called before the estimate is updated with it. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
@@ -83,6 +83,7 @@
   private final DecisionLog log;
   private final EntryMetrics metrics;
   private final SteeringReporter steeringReporter;
+  private final ServerNotices notices;
   private final HttpListener listener;
   private final Set<RequestRun> runningRequests = new HashSet<>();
   private final TokenWaitQueue tokenWaitQueue;
@@ -104,6 +105,7 @@
     this.log = log;
     this.metrics = metrics;
     this.steeringReporter = new SteeringReporter(log, metrics);
+    this.notices = new ServerNotices(names, pool, log, metrics);
     this.tokenWaitQueue = new TokenWaitQueue(reactor, tokenRequester, this::takeToken);
     this.listener =
         new HttpListener(reactor, settings.endpoints().callers(), this, this::listenerLimits);
@@ -435,6 +437,10 @@
     return state;
   }
 
+  ServerNotices notices() {
+    return notices;
+  }
+
   ConnectionPool pool() {
     return pool;
   }
