--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -17,6 +17,10 @@
 public final class MessageReader {
 
   private static final int INITIAL_BYTES = 2048;
+
+  /** A larger buffer is released when no bytes are left in it. */
+  private static final int MAX_KEPT_BYTES = 64 * 1024;
+
   private static final int BAD_REQUEST = 400;
   private static final int CONTENT_TOO_LARGE = 413;
   private static final int HEADER_TOO_LARGE = 431;
@@ -59,6 +63,7 @@
   private ByteArrayOutputStream chunkedBody;
   private byte[] completedChunkedBody;
   private long trailerBytes;
+  private boolean discardingBody;
 
   /** Creates a reader with limits in bytes. */
   public MessageReader(Kind kind, int maxHeadBytes, long maxBodyBytes) {
@@ -72,13 +77,13 @@
     if (start == end) {
       start = 0;
       end = 0;
+      if (buffer.length > MAX_KEPT_BYTES) {
+        buffer = new byte[INITIAL_BYTES];
+      }
     }
     if (end + length > buffer.length) {
       int used = end - start;
-      byte[] target =
-          used + length > buffer.length
-              ? new byte[Math.max(used + length, buffer.length * 2)]
-              : buffer;
+      byte[] target = used + length > buffer.length ? new byte[grownBytes(used + length)] : buffer;
       System.arraycopy(buffer, start, target, 0, used);
       buffer = target;
       start = 0;
@@ -88,6 +93,16 @@
     end += length;
   }
 
+  /** A buffer for a body of known length grows to no more than that length. */
+  private int grownBytes(int neededBytes) {
+    long grown = Math.max(neededBytes, buffer.length * 2L);
+    return (int) (state == State.LENGTH_BODY ? Math.min(grown, lengthBound(neededBytes)) : grown);
+  }
+
+  private long lengthBound(int neededBytes) {
+    return Math.max(neededBytes, remainingBytes);
+  }
+
   /** Returns whether bytes of an incomplete or unread message are buffered. */
   public boolean hasBufferedBytes() {
     return start < end || state != State.HEAD;
@@ -103,12 +118,34 @@
     return state != State.HEAD;
   }
 
+  /** Returns the size of the body that is being read, as far as it is known. */
+  public long expectedBodyBytes() {
+    return switch (state) {
+      case HEAD -> 0;
+      case LENGTH_BODY -> remainingBytes;
+      case UNTIL_CLOSE -> end - start;
+      default -> chunkedBody.size() + remainingBytes;
+    };
+  }
+
+  /** Drops the rest of the body that is being read; its message will have an empty body. */
+  public void discardBody() {
+    discardingBody = true;
+    if (chunkedBody != null) {
+      chunkedBody = new ByteArrayOutputStream();
+    }
+  }
+
   /** Returns the next message if it was received completely. */
   public Optional<HttpMessage> poll() throws MalformedMessage {
     while (true) {
       if (!readNextPart()) {
         return Optional.empty();
       }
+      if (state == State.LENGTH_BODY && discardingBody) {
+        start += (int) remainingBytes;
+        return Optional.of(finish(new byte[0], false));
+      }
       if (state == State.LENGTH_BODY && end - start >= remainingBytes) {
         byte[] body = Arrays.copyOfRange(buffer, start, start + (int) remainingBytes);
         start += (int) remainingBytes;
@@ -126,7 +163,7 @@
   private boolean readNextPart() throws MalformedMessage {
     return switch (state) {
       case HEAD -> readHead();
-      case LENGTH_BODY -> end - start >= remainingBytes;
+      case LENGTH_BODY -> readLengthBody();
       case CHUNK_SIZE -> readChunkSize();
       case CHUNK_DATA -> readChunkData();
       case CHUNK_END -> readChunkEnd();
@@ -150,9 +187,18 @@
   private HttpMessage finish(byte[] body, boolean closeDelimited) {
     state = State.HEAD;
     chunkedBody = null;
+    discardingBody = false;
     return new HttpMessage(startLine, fields, body, closeDelimited);
   }
 
+  private boolean readLengthBody() {
+    if (discardingBody && end - start < remainingBytes) {
+      remainingBytes -= end - start;
+      start = end;
+    }
+    return end - start >= remainingBytes;
+  }
+
   private boolean checkCloseDelimitedSize() throws MalformedMessage {
     if (end - start > maxBodyBytes) {
       throw bodyTooLarge();
@@ -317,7 +363,9 @@
 
   private boolean readChunkData() {
     int consumed = (int) Math.min(remainingBytes, end - start);
-    chunkedBody.write(buffer, start, consumed);
+    if (!discardingBody) {
+      chunkedBody.write(buffer, start, consumed);
+    }
     start += consumed;
     remainingBytes -= consumed;
     if (remainingBytes > 0) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -60,6 +60,10 @@
   private static final Duration STOP_REFUSING_TIME = Duration.ofMillis(700);
 
   private static final long STOP_POLL_INTERVAL_MS = 50;
+
+  /** Exit code of a process that has lost the thread of an event loop. */
+  private static final int EXIT_EVENT_LOOP_ENDED = 71;
+
   private static final int MAX_STORE_HEAD_BYTES = 16 * 1024;
   private static final long MAX_STORE_BODY_BYTES = 64L * 1024 * 1024;
   private static final int OK = 200;
@@ -299,10 +303,16 @@
     return fault + (trace.length == 0 ? "" : " at " + trace[0]);
   }
 
-  private static void runInBackground(Eventloop loop) {
+  private void runInBackground(Eventloop loop) {
     loop.keepAlive(true);
     Thread thread = new Thread(loop);
     thread.setDaemon(true);
+    thread.setUncaughtExceptionHandler(
+        (ended, fault) -> {
+          // Without its event loops the process would go on running and answer nothing.
+          log.event("event-loop-ended", "thread", ended.getName(), "reason", describe(fault));
+          Runtime.getRuntime().halt(EXIT_EVENT_LOOP_ENDED);
+        });
     thread.start();
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
@@ -21,11 +21,18 @@
   /** Interval between checks for slow and idle connections. */
   private static final long SWEEP_INTERVAL_MS = 500;
 
+  /**
+   * Share of the heap for request bodies. A body needs up to three times its size: while it is
+   * read, as a message, and encoded for a server.
+   */
+  private static final double REQUEST_BODY_HEAP_FRACTION = 0.14;
+
   private final NioReactor reactor;
   private final InetSocketAddress address;
   private final RequestHandler handler;
   private final Supplier<ListenerLimits> limits;
   private final Set<ServerConnection> connections = new HashSet<>();
+  private final RequestBodyBudget bodyBudget;
   private final SimpleServer server;
   private boolean closing;
 
@@ -38,7 +45,23 @@
       InetSocketAddress address,
       RequestHandler handler,
       Supplier<ListenerLimits> limits) {
+    this(
+        reactor,
+        address,
+        handler,
+        limits,
+        new RequestBodyBudget(
+            (long) (REQUEST_BODY_HEAP_FRACTION * Runtime.getRuntime().maxMemory())));
+  }
+
+  HttpListener(
+      NioReactor reactor,
+      InetSocketAddress address,
+      RequestHandler handler,
+      Supplier<ListenerLimits> limits,
+      RequestBodyBudget bodyBudget) {
     this.reactor = reactor;
+    this.bodyBudget = bodyBudget;
     this.address = address;
     this.handler = handler;
     this.limits = limits;
@@ -88,6 +111,10 @@
     return handler;
   }
 
+  RequestBodyBudget bodyBudget() {
+    return bodyBudget;
+  }
+
   boolean isClosing() {
     return closing;
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
@@ -14,13 +14,22 @@
  * One accepted connection of a caller.
  *
  * <p>Invariant: requests are handled one at a time, and each is answered before the next one is
- * handled. The connection is read continuously, to detect a caller that disconnects while its
- * request runs. Confined to one event loop.
+ * handled. The connection is read while a request runs, to detect a caller that disconnects, until
+ * a limited number of bytes wait behind it. A request whose body does not fit into the memory for
+ * bodies is refused before it is handled. Confined to one event loop.
  */
 final class ServerConnection {
 
   private static final HttpField CONNECTION_CLOSE = new HttpField("Connection", "close");
 
+  /** Bytes that may wait behind a request that has no answer yet. */
+  private static final long MAX_READ_AHEAD_BYTES = 64 * 1024;
+
+  /** Callers retry a request after this time if its body did not fit into memory. */
+  private static final int BODY_RETRY_AFTER_SECONDS = 1;
+
+  private static final int UNAVAILABLE = 503;
+
   private final HttpListener listener;
   private final ITcpSocket socket;
   private final MessageReader reader;
@@ -31,8 +40,19 @@
 
   private boolean closeAfterResponse;
   private boolean inputEnded;
+  private boolean readingPaused;
+  private boolean serving;
   private boolean closed;
 
+  /** Bytes reserved for the body of the request that is being read or handled. */
+  private long reservedBytes;
+
+  /** Whether the request that is being read was refused, so that its body is discarded. */
+  private boolean discarding;
+
+  private boolean refusalWritten;
+  private boolean bodyDiscarded;
+
   ServerConnection(HttpListener listener, ITcpSocket socket, long nowMillis) {
     this.listener = listener;
     this.socket = socket;
@@ -59,6 +79,10 @@
       return;
     }
     long waitedMillis = nowMillis - waitingSinceMillis;
+    if (discarding && waitedMillis > listener.limits().requestTimeout().toMillis()) {
+      close();
+      return;
+    }
     if (reader.hasBufferedBytes() && waitedMillis > listener.limits().requestTimeout().toMillis()) {
       reject(408, "the request did not arrive in time");
     } else if (!reader.hasBufferedBytes()
@@ -71,6 +95,7 @@
     if (!closed) {
       closed = true;
       listener.remove(this);
+      releaseBody();
       socket.close();
       notifyAbandoned();
     }
@@ -101,22 +126,118 @@
     reader.feed(bytes.array(), bytes.head(), bytes.readRemaining());
     bytes.recycle();
     serveNext();
-    readNext();
+    if (mayReadAhead()) {
+      readNext();
+    }
   }
 
+  /** Bounds the bytes that are buffered behind a request that has no answer yet. */
+  private boolean mayReadAhead() {
+    readingPaused = current != null && !discarding && reader.bufferedBytes() > MAX_READ_AHEAD_BYTES;
+    return !readingPaused;
+  }
+
+  private void resumeReading() {
+    if (readingPaused) {
+      readingPaused = false;
+      readNext();
+    }
+  }
+
+  /**
+   * Handles the requests that have been read, one after the other. Answers that are written at once
+   * continue this loop instead of calling it again, so that many small requests need no deep stack.
+   */
   private void serveNext() {
-    if (current != null || closed || closeAfterResponse) {
+    if (serving) {
       return;
     }
+    serving = true;
+    try {
+      boolean served = true;
+      while (served) {
+        served = serveOne();
+      }
+    } finally {
+      serving = false;
+    }
+  }
+
+  /** Handles the next request; returns whether there was one. */
+  private boolean serveOne() {
+    if (discarding) {
+      discardBody();
+      return false;
+    }
+    if (current != null || closed || closeAfterResponse) {
+      return false;
+    }
     try {
       Optional<HttpMessage> request = reader.poll();
       if (request.isPresent()) {
         current = new ActiveExchange(request.get());
         listener.handler().handle(request.get(), current);
+        return true;
+      }
+      if (!reserveBody()) {
+        refuseBody();
       }
     } catch (MalformedMessage e) {
       reject(e.status(), e.getMessage());
     }
+    return false;
+  }
+
+  private boolean reserveBody() {
+    long bytes = reader.expectedBodyBytes();
+    if (bytes <= reservedBytes) {
+      return true;
+    }
+    boolean reserved = listener.bodyBudget().tryReserve(reservedBytes, bytes);
+    reservedBytes = reserved ? bytes : reservedBytes;
+    return reserved;
+  }
+
+  private void releaseBody() {
+    listener.bodyBudget().release(reservedBytes);
+    reservedBytes = 0;
+  }
+
+  /**
+   * Refuses a request whose body does not fit into memory. The rest of the body is read and
+   * discarded, since closing a connection with unread bytes would reset it before the caller has
+   * read the answer.
+   */
+  private void refuseBody() {
+    discarding = true;
+    reader.discardBody();
+    releaseBody();
+    List<HttpField> fields =
+        List.of(
+            new HttpField("Retry-After", Long.toString(BODY_RETRY_AFTER_SECONDS)),
+            CONNECTION_CLOSE);
+    HttpMessage refusal = HttpMessage.of(Responses.statusLine(UNAVAILABLE), fields);
+    socket
+        .write(ByteBuf.wrapForReading(refusal.encode(true)))
+        .subscribe(
+            (ok, failure) -> {
+              refusalWritten = true;
+              if (failure != null || bodyDiscarded) {
+                close();
+              }
+            });
+    discardBody();
+  }
+
+  private void discardBody() {
+    try {
+      bodyDiscarded |= reader.poll().isPresent();
+      if (bodyDiscarded && refusalWritten) {
+        close();
+      }
+    } catch (MalformedMessage e) {
+      close();
+    }
   }
 
   private void reject(int status, String reason) {
@@ -168,11 +289,13 @@
         return;
       }
       current = null;
+      releaseBody();
       waitingSinceMillis = listener.nowMillis();
       if (failure != null || closeAfterResponse) {
         close();
       } else {
         serveNext();
+        resumeReading();
       }
     }
   }
--- a/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -39,6 +41,32 @@
     assertEquals(2, messages);
   }
 
+  // Guards against a discarded body that is kept in memory, or taken for the next request.
+  @Property(tries = 60)
+  void discardedBodiesAreSkipped(@ForAll @IntRange(min = 1, max = 40) int pieceBytes)
+      throws MalformedMessage {
+    String withLength =
+        "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n" + "y".repeat(50);
+    for (String first : new String[] {CHUNKED, withLength}) {
+      MessageReader reader = reader(Kind.REQUEST);
+      byte[] bytes = (first + CHUNKED).getBytes(StandardCharsets.ISO_8859_1);
+      int headEnd = first.indexOf("\r\n\r\n") + 4;
+      reader.feed(bytes, 0, headEnd);
+      assertTrue(reader.poll().isEmpty());
+      reader.discardBody();
+      List<Integer> bodyLengths = new ArrayList<>();
+
+      for (int start = headEnd; start < bytes.length; start += pieceBytes) {
+        reader.feed(bytes, start, Math.min(pieceBytes, bytes.length - start));
+        for (Optional<HttpMessage> next = reader.poll(); next.isPresent(); next = reader.poll()) {
+          bodyLengths.add(next.get().body().length);
+        }
+      }
+
+      assertEquals(List.of(0, "hello world".length()), bodyLengths);
+    }
+  }
+
   // Guards against request smuggling, where two parsers disagree about the end of a request.
   @Test
   void rejectsAnAmbiguousLength() {
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
@@ -0,0 +1,190 @@
+package org.toucanrack.internal.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.toucanrack.internal.protocol.message.HttpMessage;
+import org.toucanrack.internal.protocol.message.MalformedMessage;
+import org.toucanrack.internal.protocol.message.MessageReader;
+import org.toucanrack.testing.FreePorts;
+
+class HttpListenerTest {
+
+  private static final long BUDGET_BYTES = 1_000_000;
+  private static final int TOO_LARGE_BYTES = 800_000;
+  private static final int LARGE_BYTES = 700_000;
+  private static final int PIPELINED_REQUESTS = 20_000;
+  private static final String SMALL_REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+  private final Eventloop loop = Eventloop.create();
+  private final InetSocketAddress address =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.allocate());
+  private final RequestBodyBudget budget = new RequestBodyBudget(BUDGET_BYTES);
+  private final AtomicInteger handledBytes = new AtomicInteger();
+  private final List<RequestHandler.Exchange> waiting = new ArrayList<>();
+  private boolean answersLater;
+  private HttpListener listener;
+
+  @BeforeEach
+  void start() throws InterruptedException {
+    loop.keepAlive(true);
+    Thread thread = new Thread(loop);
+    thread.setDaemon(true);
+    thread.start();
+    listener = new HttpListener(loop, address, this::handle, () -> ListenerLimits.INTERNAL, budget);
+    CountDownLatch listening = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          listener.listen();
+          listening.countDown();
+        });
+    listening.await();
+  }
+
+  @AfterEach
+  void stop() {
+    loop.execute(loop::breakEventloop);
+  }
+
+  private void handle(HttpMessage request, RequestHandler.Exchange exchange) {
+    handledBytes.addAndGet(request.body().length);
+    if (answersLater) {
+      waiting.add(exchange);
+    } else {
+      exchange.respond(Responses.text(200, "done"));
+    }
+  }
+
+  // Guards against a heap that is used up by the bodies of uploads: the event loop ended, and the
+  // process went on without answering.
+  @Test
+  void bodiesThatDoNotFitIntoMemoryAreRefusedAsNotRun() throws Exception {
+    HttpMessage refusal = upload("Content-Length: " + TOO_LARGE_BYTES, bytes(TOO_LARGE_BYTES));
+
+    assertEquals(503, refusal.status());
+    assertTrue(refusal.field("Retry-After").isPresent());
+    assertEquals(0, handledBytes.get());
+  }
+
+  // Guards against chunked bodies that are counted only when they are complete.
+  @Test
+  void chunkedBodiesThatDoNotFitIntoMemoryAreRefusedAsNotRun() throws Exception {
+    byte[] chunk = ("186a0\r\n" + "x".repeat(100_000) + "\r\n").getBytes(StandardCharsets.UTF_8);
+    byte[] body = new byte[9 * chunk.length + 5];
+    for (int i = 0; i < 9; i++) {
+      System.arraycopy(chunk, 0, body, i * chunk.length, chunk.length);
+    }
+    System.arraycopy("0\r\n\r\n".getBytes(StandardCharsets.UTF_8), 0, body, 9 * chunk.length, 5);
+
+    assertEquals(503, upload("Transfer-Encoding: chunked", body).status());
+    assertEquals(0, handledBytes.get());
+  }
+
+  // Guards against memory that stays reserved after the answer, so that later uploads are refused.
+  @Test
+  void memoryIsFreeAgainAfterEachAnswerAndRefusal() throws Exception {
+    for (int i = 0; i < 3; i++) {
+      assertEquals(200, upload("Content-Length: " + LARGE_BYTES, bytes(LARGE_BYTES)).status());
+      assertEquals(
+          503, upload("Content-Length: " + TOO_LARGE_BYTES, bytes(TOO_LARGE_BYTES)).status());
+    }
+    assertEquals(3 * LARGE_BYTES, handledBytes.get());
+  }
+
+  // Guards against a caller that uses up the memory by sending on behind an unanswered request.
+  @Test
+  void requestsBehindAnUnansweredOneAreReadOnlyAfterItsAnswer() throws Exception {
+    answersLater = true;
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      Thread writer =
+          new Thread(
+              () -> {
+                try {
+                  OutputStream out = socket.getOutputStream();
+                  byte[] requests =
+                      SMALL_REQUEST
+                          .repeat(PIPELINED_REQUESTS / 100)
+                          .getBytes(StandardCharsets.ISO_8859_1);
+                  for (int i = 0; i < 100; i++) {
+                    out.write(requests);
+                  }
+                } catch (IOException e) {
+                  // The test sees the requests that are missing.
+                  return;
+                }
+              });
+      writer.setDaemon(true);
+      writer.start();
+      Thread.sleep(500);
+      loop.execute(
+          () -> {
+            answersLater = false;
+            waiting.forEach(exchange -> exchange.respond(Responses.text(200, "done")));
+          });
+
+      assertEquals(PIPELINED_REQUESTS, answers(socket.getInputStream(), PIPELINED_REQUESTS));
+    }
+  }
+
+  private HttpMessage upload(String framing, byte[] body) throws IOException, MalformedMessage {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(10_000);
+      OutputStream out = socket.getOutputStream();
+      out.write(
+          ("POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n")
+              .getBytes(StandardCharsets.ISO_8859_1));
+      out.write(body);
+      return read(socket.getInputStream());
+    }
+  }
+
+  private static byte[] bytes(int length) {
+    return new byte[length];
+  }
+
+  private static HttpMessage read(InputStream in) throws IOException, MalformedMessage {
+    MessageReader reader = new MessageReader(MessageReader.Kind.RESPONSE, 16 * 1024, 1024);
+    byte[] bytes = new byte[4096];
+    for (int read = in.read(bytes); read >= 0; read = in.read(bytes)) {
+      reader.feed(bytes, 0, read);
+      Optional<HttpMessage> answer = reader.poll();
+      if (answer.isPresent()) {
+        return answer.get();
+      }
+    }
+    throw new IOException("closed without an answer");
+  }
+
+  private static int answers(InputStream in, int expected) throws IOException, MalformedMessage {
+    MessageReader reader = new MessageReader(MessageReader.Kind.RESPONSE, 16 * 1024, 1024);
+    byte[] bytes = new byte[4096];
+    int answers = 0;
+    while (answers < expected) {
+      int read = in.read(bytes);
+      if (read < 0) {
+        return answers;
+      }
+      reader.feed(bytes, 0, read);
+      while (reader.poll().isPresent()) {
+        answers++;
+      }
+    }
+    return answers;
+  }
+}
--- /dev/null
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/RequestBodyBudgetTest.java
@@ -0,0 +1,35 @@
+package org.toucanrack.internal.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class RequestBodyBudgetTest {
+
+  private static final long LIMIT_BYTES = 1_000_000;
+
+  private final RequestBodyBudget budget = new RequestBodyBudget(LIMIT_BYTES);
+
+  // Guards against uploads that leave no memory for other requests.
+  @Test
+  void largeBodiesLeavePartOfTheBudgetToSmallOnes() {
+    assertTrue(budget.tryReserve(0, 700_000));
+    assertFalse(budget.tryReserve(0, 70_000));
+    assertTrue(budget.tryReserve(0, RequestBodyBudget.SMALL_BODY_BYTES));
+  }
+
+  // Guards against a growing body that is counted twice, or that keeps its memory.
+  @Test
+  void growingBodiesReplaceTheirReservation() {
+    assertTrue(budget.tryReserve(0, 300_000));
+    assertTrue(budget.tryReserve(300_000, 700_000));
+    assertFalse(budget.tryReserve(700_000, 800_000));
+    assertEquals(700_000, budget.usedBytes());
+
+    budget.release(700_000);
+
+    assertEquals(0, budget.usedBytes());
+  }
+}
