--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -35,6 +35,7 @@
   private static final long REQUEST_RATE_WINDOW_SECONDS = 3;
 
   private final EntrySettings settings;
+  private final long startedNanos;
   private final SlidingWindowCounter requests =
       new SlidingWindowCounter(TimeUnit.SECONDS.toNanos(REQUEST_RATE_WINDOW_SECONDS));
   private final ServerTable table;
@@ -57,6 +58,7 @@
 
   TrafficState(EntrySettings settings, long nowNanos) {
     this.settings = settings;
+    this.startedNanos = nowNanos;
     this.table = new ServerTable(settings.regions());
     EntrySettings.Bounds bounds = settings.bounds();
     this.rates =
@@ -165,7 +167,10 @@
         service,
         id ->
             new SharedRetryBudget(
-                bounds.retryBudgetRatio(), bounds.retryBudgetReserve(), bounds.retryWindow()));
+                bounds.retryBudgetRatio(),
+                bounds.retryBudgetReserve(),
+                bounds.retryWindow(),
+                startedNanos));
   }
 
   /**
