--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/Exclusion.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/Exclusion.java
@@ -10,7 +10,7 @@
   LEAVING,
   /** It has asked for a pause that is not over yet. */
   REQUESTED_PAUSE,
-  /** The pause that it asked for is over, and its first answer since is awaited. */
+  /** The pause that it asked for is over, and it has yet to answer the one request sent since. */
   RESUMING,
   /** It failed or refused requests shortly before. */
   PAUSED,
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerState.java
@@ -190,7 +190,7 @@
     lastAnswerNanos = nowNanos;
     consecutiveFailures = 0;
     restartSuspected = false;
-    resuming = false;
+    resuming &= isInRequestedPause(nowNanos);
     decayFaults(nowNanos);
     failureRate += FAULT_SMOOTHING_FACTOR * ((succeeded ? 0 : 1) - failureRate);
     shedRate -= FAULT_SMOOTHING_FACTOR * shedRate;
@@ -242,14 +242,14 @@
     return nowNanos - requestedPauseUntilNanos < 0;
   }
 
-  /** Returns whether a request was sent after a pause that the server asked for, or before it. */
+  /** Returns whether the server has asked for a pause, and an answer is still awaited. */
   boolean awaitsFirstAnswer() {
     return resuming && !inFlight.isEmpty();
   }
 
-  /** Returns whether the server has asked for a pause and has not answered a request since. */
-  public boolean isResuming() {
-    return resuming;
+  /** Returns whether a pause is over that the server asked for, without an answer since. */
+  public boolean isResuming(long nowNanos) {
+    return resuming && !isInRequestedPause(nowNanos);
   }
 
   /** Returns whether something that the server said about its own run still holds. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/ServerTable.java
@@ -30,10 +30,12 @@
    */
   private static final Duration COLD_MARGIN = Duration.ofMillis(500);
 
-  /** Servers that left the table with a notice that still holds. */
+  /** Largest number of departed servers that are remembered for their notices. */
   private static final int MAX_DEPARTED = 1024;
 
   private final Map<FailureDomainId, RegionId> regions;
+
+  /** Runs that are no longer announced and whose notices still hold, the latest last. */
   private final Map<ServerRun, ServerState> departed =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -43,6 +45,7 @@
           return size() > MAX_DEPARTED;
         }
       };
+
   private final Map<BackendServerId, ServerState> states = new HashMap<>();
   private final Map<ServiceId, List<ServerState>> usable = new HashMap<>();
   private final Map<ServiceId, ServiceTimeEstimator> serviceTimes = new HashMap<>();
--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -95,12 +95,10 @@
 
   /** A buffer for a body of known length grows to no more than that length. */
   private int grownBytes(int neededBytes) {
-    long grown = Math.max(neededBytes, buffer.length * 2L);
-    return (int) (state == State.LENGTH_BODY ? Math.min(grown, lengthBound(neededBytes)) : grown);
-  }
-
-  private long lengthBound(int neededBytes) {
-    return Math.max(neededBytes, remainingBytes);
+    long doubledBytes = buffer.length * 2L;
+    long usefulBytes =
+        state == State.LENGTH_BODY ? Math.min(doubledBytes, remainingBytes) : doubledBytes;
+    return (int) Math.max(neededBytes, usefulBytes);
   }
 
   /** Returns whether bytes of an incomplete or unread message are buffered. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
@@ -244,7 +244,7 @@
     lastVerdict = Verdict.RAN;
     mayHaveRun = true;
     boolean succeeded = status < FIRST_SERVER_ERROR;
-    handler.notices().answered(from);
+    handler.notices().answered(from, now);
     from.recordAnswer(sent, now, succeeded);
     handler.countTrial(this, from, resultOf(status, now - sent.sentNanos()));
     if (!succeeded && mayRetry(now)) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ServerNotices.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ServerNotices.java
@@ -70,8 +70,8 @@
   }
 
   /** Logs that a server takes requests again; to be called before its answer is recorded. */
-  void answered(ServerState server) {
-    if (server.isResuming()) {
+  void answered(ServerState server, long nowNanos) {
+    if (server.isResuming(nowNanos)) {
       log.event("server-resumes", "server", server.announced().id());
     }
   }
--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerNoticeTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/ServerNoticeTest.java
@@ -154,7 +154,9 @@
   void resumingServersGetOneRequestUntilTheyAnswer() {
     publish(Map.of(0, new Run("i-0", 1, 1000)), 0);
     ServerState server = choose(0);
+    ServerState.SentAttempt sentBefore = server.recordSent(0, 0);
     server.recordRequestedPause(Duration.ofSeconds(1), 0);
+    server.recordAnswer(sentBefore, nanos(500), true);
 
     long now = nanos(1000);
     ServerState.SentAttempt first = choose(now).recordSent(1, now);
