--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/SharedRetryBudget.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/SharedRetryBudget.java
@@ -6,8 +6,7 @@
  * Limits the extra attempts of one service on this VM, so that those of all VMs together stay
  * within the shared budget.
  *
- * <p>Each VM applies the ratio to its own requests and uses an equal part of the reserve. A VM that
- * has just started uses no reserve for a window: its earlier run may have used that part.
+ * <p>Each VM applies the ratio to its own requests and uses an equal part of the reserve.
  * Invariant: extra attempts within a window never exceed {@code ratio x requests + reserve part}.
  * Not thread-safe.
  */
@@ -23,20 +22,16 @@
   private final SlidingWindowCounter extraAttempts;
   private final double ratio;
   private final double reserve;
-  private final long reserveFromNanos;
 
   /**
    * Creates a budget.
    *
    * @param ratio extra attempts per request over all VMs
    * @param reserve extra attempts allowed in a window on top of the ratio, over all VMs
-   * @param window the sliding window
-   * @param vmStartedNanos when this VM was started
    */
-  public SharedRetryBudget(double ratio, double reserve, Duration window, long vmStartedNanos) {
+  public SharedRetryBudget(double ratio, double reserve, Duration window) {
     this.ratio = ratio * USED_RATIO_FRACTION;
     this.reserve = reserve;
-    this.reserveFromNanos = vmStartedNanos + window.toNanos();
     requests = new SlidingWindowCounter(window.toNanos());
     extraAttempts = new SlidingWindowCounter(window.toNanos());
   }
@@ -53,9 +48,7 @@
    * @return whether the budget allows it
    */
   public boolean tryAcquire(long nowNanos, int vmCount) {
-    double reservePart =
-        nowNanos - reserveFromNanos >= 0 ? Math.floor(reserve / Math.max(1, vmCount)) : 0;
-    double allowed = ratio * requests.count(nowNanos) + reservePart;
+    double allowed = ratio * requests.count(nowNanos) + Math.floor(reserve / Math.max(1, vmCount));
     if (extraAttempts.count(nowNanos) + 1 > allowed) {
       return false;
     }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficState.java
@@ -35,7 +35,6 @@
   private static final long REQUEST_RATE_WINDOW_SECONDS = 3;
 
   private final EntrySettings settings;
-  private final long startedNanos;
   private final SlidingWindowCounter requests =
       new SlidingWindowCounter(TimeUnit.SECONDS.toNanos(REQUEST_RATE_WINDOW_SECONDS));
   private final ServerTable table;
@@ -58,7 +57,6 @@
 
   TrafficState(EntrySettings settings, long nowNanos) {
     this.settings = settings;
-    this.startedNanos = nowNanos;
     this.table = new ServerTable(settings.regions());
     EntrySettings.Bounds bounds = settings.bounds();
     this.rates =
@@ -167,10 +165,7 @@
         service,
         id ->
             new SharedRetryBudget(
-                bounds.retryBudgetRatio(),
-                bounds.retryBudgetReserve(),
-                bounds.retryWindow(),
-                startedNanos));
+                bounds.retryBudgetRatio(), bounds.retryBudgetReserve(), bounds.retryWindow()));
   }
 
   /**
