--- a/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SteeringDecisionsTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/coordination/steer/SteeringDecisionsTest.java
@@ -5,11 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.id.VersionId;
 import org.toucanrack.internal.coordination.steer.TrialEvidence.Result;
@@ -19,6 +24,8 @@
 
 class SteeringDecisionsTest {
 
+  private static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+
   private static final ServiceId SERVICE = new ServiceId("s");
   private static final RolloutOrder ORDER =
       new RolloutOrder(SERVICE, new VersionId("v2"), Duration.ofSeconds(16));
@@ -52,6 +59,40 @@
     assertEquals(60, extraAttempts);
   }
 
+  // Guards against VMs that spend their part of the retry reserve again after each restart.
+  @Tag("known-red")
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void restartedVmsStayWithinTheRetryBudget(long seed) {
+    Random random = new Random(seed);
+    int vms = 10;
+    SharedRetryBudget[] budgets = new SharedRetryBudget[vms];
+    for (int vm = 0; vm < vms; vm++) {
+      budgets[vm] = new SharedRetryBudget(0.2, 60, RETRY_WINDOW);
+    }
+    List<Long> extraAttempts = new ArrayList<>();
+    for (long now = 0; now < 30_000; now += 10) {
+      long nanos = TimeUnit.MILLISECONDS.toNanos(now);
+      int restarted = random.nextInt(vms * 20);
+      if (restarted < vms) {
+        budgets[restarted] = new SharedRetryBudget(0.2, 60, RETRY_WINDOW);
+      }
+      for (SharedRetryBudget budget : budgets) {
+        if (budget.tryAcquire(nanos, vms)) {
+          extraAttempts.add(now);
+        }
+      }
+    }
+
+    for (long start : extraAttempts) {
+      long within =
+          extraAttempts.stream()
+              .filter(time -> time >= start && time < start + RETRY_WINDOW.toMillis())
+              .count();
+      assertTrue(within <= 60, within + " extra attempts within a window, allowed are 60");
+    }
+  }
+
   // Guards against traffic that moves between regions faster than allowed.
   @Test
   void overflowShareChangesSlowly() {
