--- a/review/standins-2/src/review/Config.java
+++ b/review/standins-2/src/review/Config.java
@@ -12,10 +12,16 @@
   static final String SERVICE = "kaba98a";
   static final String OTHER_SERVICE = "lehu44b";
 
+  private static final List<String> ROUTE_COLUMNS =
+      List.of(
+          "name", "host", "prefix", "kind", "timeout_s", "service", "goal_s", "priority",
+          "attempts", "public", "sticky");
+
   private final long version;
   private final List<List<Object>> routes = new ArrayList<>();
   private final List<List<Object>> tenants = new ArrayList<>();
   private long bodyBytes = 67108864;
+  private boolean fewColumns;
 
   Config(long version) {
     this.version = version;
@@ -27,18 +33,11 @@
 
   Config route(
       String name, String prefix, String kind, double timeoutSeconds, String service) {
-    List<Object> row = new ArrayList<>();
-    row.add(name);
-    row.add(HOST);
-    row.add(prefix);
-    row.add(kind);
-    row.add(timeoutSeconds);
-    row.add(0.4);
-    row.add(1);
-    row.add(2);
-    row.add(false);
-    row.add(true);
-    row.add(service);
+    List<Object> row =
+        new ArrayList<>(List.of(name, HOST, prefix, kind, timeoutSeconds, service));
+    if (!fewColumns) {
+      row.addAll(List.of(0.4, 1, 2, false, true));
+    }
     routes.add(row);
     return this;
   }
@@ -54,6 +53,12 @@
     return this;
   }
 
+  /** Omits what has its default in all routes. */
+  Config withFewColumns() {
+    fewColumns = true;
+    return this;
+  }
+
   Config bodyBytes(long bytes) {
     bodyBytes = bytes;
     return this;
@@ -64,11 +69,7 @@
     document.put("version", version);
     document.put(
         "routes",
-        table(
-            List.of(
-                "name", "host", "prefix", "kind", "timeout_s", "goal_s", "priority", "attempts",
-                "public", "sticky", "service"),
-            routes));
+        table(fewColumns ? ROUTE_COLUMNS.subList(0, 6) : ROUTE_COLUMNS, routes));
     List<List<Object>> services =
         List.of(
             List.of(SERVICE, "/health", 360, 3.0, 4.4),
--- a/review/standins-2/src/review/QuotaCase.java
+++ b/review/standins-2/src/review/QuotaCase.java
@@ -7,19 +7,26 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * A new version of a service with many routes is brought in, and requesters use all routes. After
- * more than a minute, one tenant sends more than its allotment.
+ * New versions of two services with many routes are brought in by turns, each within 16 s, and
+ * requesters use all routes. After more than a minute, one tenant sends more than its allotment.
  *
  * <p>Arguments: the repository, a temporary folder, the record.
  */
 final class QuotaCase {
 
-  private static final int ROUTES = 700;
-  private static final int ROLLOUT_SECONDS = 100;
-  private static final int WAIT_SECONDS = 66;
+  private static final int ROUTES_OF_SERVICE = 415;
+  private static final int ROLLOUT_SECONDS = 16;
+
+  /** Time between two orders, for one service and the other by turns. */
+  private static final long ORDER_INTERVAL_MILLIS = 8000;
+
+  private static final int ORDERS = 10;
+  private static final int WAIT_SECONDS = 72;
+  private static final List<String> SERVICES = List.of(Config.SERVICE, Config.OTHER_SERVICE);
   private static final int RATE = 40;
   private static final int BURST = 40;
   private static final double WINDOW_SECONDS = 5;
@@ -46,9 +53,11 @@
     List<Machine> machines = Machine.create(folder, "khomas-a", "khomas-b");
     int peerPort = Machine.freePort(machines.get(0).ip());
     try (Store store = new Store(new InetSocketAddress("127.0.0.1", 0))) {
+      Map<String, List<Server>> running = new ConcurrentHashMap<>();
       List<Server> servers = new ArrayList<>();
-      for (int i = 0; i < 4; i++) {
-        servers.add(server(machines, i, "v1", record));
+      for (String service : SERVICES) {
+        running.put(service, servers(machines, service, 1, record));
+        servers.addAll(running.get(service));
       }
       servers.forEach(server -> server.announce(store, "ready"));
       store.put("op", "config", config());
@@ -62,30 +71,39 @@
             return 2;
           }
         }
-        return play(store, servers, machines, record, trouble);
+        return play(store, running, servers, machines, record, trouble);
       } finally {
         machines.forEach(Machine::close);
       }
     }
   }
 
-  private static Server server(List<Machine> machines, int number, String version, Record record)
-      throws IOException {
-    return new Server(
-        machines.get(number % 2).ip(),
-        "i-" + version + "-" + number,
-        Config.SERVICE,
-        number % 2 == 0 ? "khomas-a" : "khomas-b",
-        version,
-        20,
-        20,
-        record);
+  private static List<Server> servers(
+      List<Machine> machines, String service, int version, Record record) throws IOException {
+    List<Server> servers = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      servers.add(
+          new Server(
+              machines.get(i).ip(),
+              "i-" + service + "-v" + version + "-" + i,
+              service,
+              i == 0 ? "khomas-a" : "khomas-b",
+              "v" + version,
+              40,
+              10,
+              record));
+    }
+    return servers;
   }
 
+  /** Returns a config with all routes; its row has less than 65,536 bytes. */
   private static Object config() {
-    Config config = new Config(1);
-    for (int i = 0; i < ROUTES; i++) {
-      config.route(String.format("r-frge%03d", i), "/leny" + i + "/", "safe", 1);
+    Config config = new Config(1).withFewColumns();
+    for (String service : SERVICES) {
+      for (int i = 0; i < ROUTES_OF_SERVICE; i++) {
+        String name = "r-" + service + "-frge9it7k2-" + (100 + i);
+        config.route(name, path(service, i), "safe", 1, service);
+      }
     }
     return config
         .tenant("cuka1", List.of("key-1"), RATE, BURST)
@@ -93,45 +111,108 @@
         .document();
   }
 
+  private static String path(String service, int route) {
+    return "/" + service.charAt(0) + route + "/";
+  }
+
   private static int play(
-      Store store, List<Server> servers, List<Machine> machines, Record record, boolean trouble)
+      Store store,
+      Map<String, List<Server>> running,
+      List<Server> servers,
+      List<Machine> machines,
+      Record record,
+      boolean trouble)
       throws IOException, InterruptedException {
     Threads.sleep(2000);
-    if (trouble) {
-      for (int i = 0; i < 4; i++) {
-        servers.add(server(machines, i, "v2", record));
+    long start = System.nanoTime();
+    Thread rollouts =
+        Threads.start(
+            () -> {
+              for (int i = 0; i < ORDERS && trouble; i++) {
+                sleepUntil(start, i * ORDER_INTERVAL_MILLIS);
+                String service = SERVICES.get(i % 2);
+                Threads.start(
+                    () -> rollOut(store, running, servers, machines, service, record));
+              }
+            });
+    for (int i = 0; i < ORDERS - 1; i++) {
+      sleepUntil(start, 1500 + i * ORDER_INTERVAL_MILLIS);
+      useRoutes(machines, SERVICES.get(i % 2), record);
+      record.line("the routes of %s have been used", SERVICES.get(i % 2));
+      if (1500 + (i + 1) * ORDER_INTERVAL_MILLIS > 1000L * WAIT_SECONDS) {
+        break;
       }
-      servers.subList(4, 8).forEach(server -> server.announce(store, "ready"));
-      Threads.sleep(1000);
-      Map<String, Object> order = new LinkedHashMap<>();
-      order.put("service", Config.SERVICE);
-      order.put("to", "v2");
-      order.put("over_s", ROLLOUT_SECONDS);
-      store.put("op", "rollout/" + Config.SERVICE, order);
-      record.say("%.1f s: the new version is ordered", record.seconds());
     }
-    Threads.sleep(1500);
-    useAllRoutes(machines, record);
-    record.say("%.1f s: all routes have been used", record.seconds());
-    Threads.sleep(1000L * WAIT_SECONDS);
+    sleepUntil(start, 1000L * WAIT_SECONDS);
     record.say("%.1f s: the tenant sends more than its allotment", record.seconds());
     List<Sent> sent = sendBeyondAllotment(machines, record);
+    rollouts.join();
     return judge(servers, sent, record);
   }
 
-  /** Sends a request on each route to each machine. */
-  private static void useAllRoutes(List<Machine> machines, Record record)
+  private static void sleepUntil(long startNanos, long millis) {
+    long left = millis - (System.nanoTime() - startNanos) / 1_000_000;
+    if (left > 0) {
+      Threads.sleep(left);
+    }
+  }
+
+  /** Brings in the next version of a service; the old servers stop when that is completed. */
+  private static void rollOut(
+      Store store,
+      Map<String, List<Server>> running,
+      List<Server> servers,
+      List<Machine> machines,
+      String service,
+      Record record) {
+    try {
+      List<Server> before = running.get(service);
+      int version = 1 + before.get(0).versionNumber();
+      List<Server> after = servers(machines, service, version, record);
+      synchronized (servers) {
+        servers.addAll(after);
+      }
+      after.forEach(server -> server.announce(store, "ready"));
+      Threads.sleep(500);
+      Map<String, Object> order = new LinkedHashMap<>();
+      order.put("service", service);
+      order.put("to", "v" + version);
+      order.put("over_s", ROLLOUT_SECONDS);
+      store.put("op", "rollout/" + service, order);
+      record.say("%.1f s: v%d of %s is ordered", record.seconds(), version, service);
+      for (int i = 0; i < 10 * ROLLOUT_SECONDS; i++) {
+        Threads.sleep(100);
+        if (store.get("status", "rollout/" + service) instanceof Map<?, ?> status
+            && "completed".equals(status.get("state"))
+            && ("v" + version).equals(status.get("to"))) {
+          record.say("%.1f s: v%d of %s is completed", record.seconds(), version, service);
+          running.put(service, after);
+          for (Server old : before) {
+            store.remove("servers", old.id());
+            old.close();
+          }
+          return;
+        }
+      }
+      record.say("v%d of %s was not completed in time", version, service);
+    } catch (IOException e) {
+      record.say("a server could not be started: %s", e);
+    }
+  }
+
+  /** Sends a request on each route of a service to each machine. */
+  private static void useRoutes(List<Machine> machines, String service, Record record)
       throws InterruptedException {
     List<Thread> threads = new ArrayList<>();
     for (Machine machine : machines) {
-      for (int part = 0; part < 4; part++) {
+      for (int part = 0; part < 8; part++) {
         int first = part;
         threads.add(
             Threads.start(
                 () -> {
                   try (Requester requester = new Requester(machine.front(), record)) {
-                    for (int i = first; i < ROUTES; i += 4) {
-                      requester.get("/leny" + i + "/x" + i, "key-2", 1000);
+                    for (int i = first; i < ROUTES_OF_SERVICE; i += 8) {
+                      requester.get(path(service, i) + "x", "key-2", 1000);
                     }
                   }
                 }));
@@ -163,7 +244,7 @@
                       Threads.sleep(waitMillis);
                     }
                     double at = record.seconds();
-                    Requester.Result result = requester.get("/leny0/" + due, "key-1", 1000);
+                    Requester.Result result = requester.get(path(SERVICES.get(0), 0) + due, "key-1", 1000);
                     synchronized (sent) {
                       sent.add(new Sent(result.requestId(), at));
                     }
--- a/review/standins-2/src/review/Server.java
+++ b/review/standins-2/src/review/Server.java
@@ -25,7 +25,7 @@
   private final int slots;
   private final ServerSocket socket;
   private final Record record;
-  private volatile long workMillis;
+  private final long workMillis;
   private long sequence;
 
   /** Ids of the requests that the server has begun to work on. */
@@ -62,8 +62,9 @@
     return id;
   }
 
-  void setWorkMillis(long millis) {
-    workMillis = millis;
+  /** Returns the number in the version, which is written like v1. */
+  int versionNumber() {
+    return Integer.parseInt(version.substring(1));
   }
 
   /** Writes the server's entry into the store. */
