--- a/review/standins-2/src/review/UploadCase.java
+++ b/review/standins-2/src/review/UploadCase.java
@@ -16,7 +16,7 @@
 final class UploadCase {
 
   private static final int UPLOAD_BYTES = 360_000;
-  private static final double USUAL_PER_SECOND = 11;
+  private static final double USUAL_PER_SECOND = 12;
   private static final double BURST = 2.5;
   private static final double BURST_SECONDS = 6.9;
   private static final double BURST_AT = 14;
