--- a/review/standins-2/src/review/QuotaCase.java
+++ b/review/standins-2/src/review/QuotaCase.java
@@ -25,7 +25,13 @@
   private static final long ORDER_INTERVAL_MILLIS = 8000;
 
   private static final int ORDERS = 10;
-  private static final int WAIT_SECONDS = 72;
+  private static final int WAIT_SECONDS = 76;
+
+  /** Time for which a server is cold that starts during traffic, as the config says. */
+  private static final double COLD_SECONDS = 3;
+
+  /** Time from the start of new servers until requesters use all routes of their service. */
+  private static final long USE_AFTER_MILLIS = 5000;
   private static final List<String> SERVICES = List.of(Config.SERVICE, Config.OTHER_SERVICE);
   private static final int RATE = 40;
   private static final int BURST = 40;
@@ -131,15 +137,16 @@
               for (int i = 0; i < ORDERS && trouble; i++) {
                 sleepUntil(start, i * ORDER_INTERVAL_MILLIS);
                 String service = SERVICES.get(i % 2);
+                int version = 2 + i / 2;
                 Threads.start(
-                    () -> rollOut(store, running, servers, machines, service, record));
+                    () -> rollOut(store, running, servers, machines, service, version, record));
               }
             });
     for (int i = 0; i < ORDERS - 1; i++) {
-      sleepUntil(start, 1500 + i * ORDER_INTERVAL_MILLIS);
+      sleepUntil(start, USE_AFTER_MILLIS + i * ORDER_INTERVAL_MILLIS);
       useRoutes(machines, SERVICES.get(i % 2), record);
       record.line("the routes of %s have been used", SERVICES.get(i % 2));
-      if (1500 + (i + 1) * ORDER_INTERVAL_MILLIS > 1000L * WAIT_SECONDS) {
+      if (USE_AFTER_MILLIS + (i + 1) * ORDER_INTERVAL_MILLIS > 1000L * WAIT_SECONDS) {
         break;
       }
     }
@@ -164,16 +171,18 @@
       List<Server> servers,
       List<Machine> machines,
       String service,
+      int version,
       Record record) {
     try {
-      List<Server> before = running.get(service);
-      int version = 1 + before.get(0).versionNumber();
       List<Server> after = servers(machines, service, version, record);
       synchronized (servers) {
         servers.addAll(after);
       }
+      after.forEach(server -> server.announce(store, "ready", COLD_SECONDS));
+      Threads.sleep((long) (1000 * COLD_SECONDS));
       after.forEach(server -> server.announce(store, "ready"));
       Threads.sleep(500);
+      List<Server> before = running.get(service);
       Map<String, Object> order = new LinkedHashMap<>();
       order.put("service", service);
       order.put("to", "v" + version);
--- a/review/standins-2/src/review/Server.java
+++ b/review/standins-2/src/review/Server.java
@@ -62,13 +62,13 @@
     return id;
   }
 
-  /** Returns the number in the version, which is written like v1. */
-  int versionNumber() {
-    return Integer.parseInt(version.substring(1));
+  /** Writes the entry of a server that is not cold into the store. */
+  void announce(Store store, String state) {
+    announce(store, state, 0);
   }
 
   /** Writes the server's entry into the store. */
-  synchronized void announce(Store store, String state) {
+  synchronized void announce(Store store, String state, double coldSeconds) {
     InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
     Map<String, Object> info = new LinkedHashMap<>();
     info.put("service", service);
@@ -78,7 +78,7 @@
     Map<String, Object> status = new LinkedHashMap<>();
     status.put("state", state);
     status.put("seq_no", ++sequence);
-    status.put("cold_left_s", 0);
+    status.put("cold_left_s", coldSeconds);
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("address", address.getAddress().getHostAddress() + ":" + address.getPort());
     entry.put("born", born);
