Report the memory that connections hold for received bytes

Hypotheses: buffers of idle connections, copies of bodies that servers are working on, or answered requests that stay referenced.

--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -111,9 +111,9 @@
     return end - start + (chunkedBody == null ? 0L : chunkedBody.size());
   }
 
-  /** Returns whether the head of a message was read but its body is incomplete. */
-  public boolean inBody() {
-    return state != State.HEAD;
+  /** Returns the memory that the reader holds, in bytes, whether or not it is used. */
+  public long allocatedBytes() {
+    return buffer.length + (chunkedBody == null ? 0L : chunkedBody.size());
   }
 
   /** Returns the size of the body that is being read, as far as it is known. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
@@ -13,6 +13,7 @@
 import java.util.OptionalDouble;
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.internal.coordination.steer.Exclusion;
+import org.toucanrack.internal.transport.relay.ConnectionMemory;
 import org.toucanrack.steering.SharedTable;
 import org.toucanrack.steering.StoreEpoch;
 import org.toucanrack.steering.UsageSink;
@@ -118,6 +119,13 @@
           .help("Share of the objects that leaves the failure domain, if it is used first.")
           .labelNames("service")
           .register(registry);
+
+  private final Gauge connectionMemory =
+      Gauge.builder()
+          .name("toucanrack_connection_memory_bytes")
+          .help("Memory that connections hold for received bytes, by peers and by state.")
+          .labelNames("connections", "state")
+          .register(registry);
   private final TrafficBytes trafficBytes = new TrafficBytes();
 
   EntryMetrics() {
@@ -133,6 +141,12 @@
         .register(registry);
   }
 
+  /** Sets the memory held by the connections of callers, or by those to servers. */
+  void setConnectionMemory(String connections, ConnectionMemory memory) {
+    connectionMemory.labelValues(connections, "idle").set(memory.idleBytes());
+    connectionMemory.labelValues(connections, "busy").set(memory.busyBytes());
+  }
+
   /** Sets the share of a service's objects that leaves the failure domain; empty if by region. */
   void setDomainOverflow(ServiceId service, OptionalDouble share) {
     if (share.isPresent()) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
@@ -155,6 +155,8 @@
   private void reportSteering() {
     steeringReporter.report(state::overflowShare);
     steeringReporter.reportPlacement(state::domainOverflowShare);
+    metrics.setConnectionMemory("callers", listener.memory());
+    metrics.setConnectionMemory("servers", pool.memory());
     reactor.delayBackground(STEERING_REPORT_INTERVAL_MS, this::reportSteering);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
@@ -99,6 +99,16 @@
     return openedConnections;
   }
 
+  /** Returns the memory that the connections hold for received bytes. */
+  public ConnectionMemory memory() {
+    long idleBytes =
+        idleConnections.values().stream()
+            .flatMap(Deque::stream)
+            .mapToLong(PooledConnection::receivedBytes)
+            .sum();
+    return new ConnectionMemory(idleBytes, bufferBudget.usedBytes());
+  }
+
   /**
    * Sends a request on an idle connection to the server, or on a new one. Call on the event loop
    * only.
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
@@ -121,6 +121,20 @@
     return busy;
   }
 
+  /** Returns the memory that the connections hold for received bytes. */
+  public ConnectionMemory memory() {
+    long idleBytes = 0;
+    long busyBytes = 0;
+    for (ServerConnection connection : connections) {
+      if (connection.isIdle()) {
+        idleBytes += connection.receivedBytes();
+      } else {
+        busyBytes += connection.receivedBytes();
+      }
+    }
+    return new ConnectionMemory(idleBytes, busyBytes);
+  }
+
   /** Stops listening and closes all connections. */
   public void close() {
     server.close();
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PooledConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PooledConnection.java
@@ -58,6 +58,11 @@
     return address;
   }
 
+  /** Returns the memory in bytes that is held for received bytes. */
+  long receivedBytes() {
+    return reader.allocatedBytes();
+  }
+
   void start() {
     readNext();
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestReader.java
@@ -67,6 +67,11 @@
     return reader.bufferedBytes() + (next == null ? 0 : next.body().length);
   }
 
+  /** Returns the memory in bytes that is held for requests that were not taken. */
+  long allocatedBytes() {
+    return reader.allocatedBytes() + (next == null ? 0 : next.body().length);
+  }
+
   /** Reserves memory for the body that is being read; returns whether there was enough. */
   boolean reserveBody() {
     long bytes = reader.expectedBodyBytes();
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
@@ -72,6 +72,11 @@
     return lingering || queue.isEmpty() && !reader.hasNext() && !reader.inRequest();
   }
 
+  /** Returns the memory in bytes that is held for requests that were received and not started. */
+  long receivedBytes() {
+    return reader.allocatedBytes();
+  }
+
   /**
    * Rejects a request that arrives too slowly, and closes a connection that is idle for too long or
    * whose caller accepts no more of its answers.
