Release the buffers of connections that wait for their next message

Cause: MessageReader released the buffer of a message only when the next bytes came. Each idle connection held a buffer as large as its last upload, which RequestBodyBudget had released with the answer. Connections to servers, peers and the store use the same reader and held their last answers.

Change: a reader without received bytes holds no memory; a buffer of which less than a quarter is used after a message is replaced by a small one, so that the first bytes of a next request do not keep the buffer of an upload.

Why it works: what remains between messages is bounded by the bytes received, not by the largest message so far.

--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -11,15 +11,21 @@
  * Parses the bytes of one connection into complete messages.
  *
  * <p>Ambiguous framing is rejected: if two parsers disagree about the end of a message, a request
- * can be smuggled inside another one. Invariant: a message is returned only after its last byte was
- * received. Not thread-safe.
+ * can be smuggled inside another one. Invariants: a message is returned only after its last byte
+ * was received; a reader without received bytes holds no memory for them, since connections stay
+ * open between messages. Not thread-safe.
  */
 public final class MessageReader {
 
   private static final int INITIAL_BYTES = 2048;
 
-  /** A larger buffer is released when no bytes are left in it. */
-  private static final int MAX_KEPT_BYTES = 64 * 1024;
+  /**
+   * After a message the buffer is replaced if the bytes behind it are fewer than its size divided
+   * by this.
+   */
+  private static final int MIN_USED_DIVISOR = 4;
+
+  private static final byte[] NO_BYTES = {};
 
   private static final int BAD_REQUEST = 400;
   private static final int CONTENT_TOO_LARGE = 413;
@@ -52,7 +58,7 @@
   private final Kind kind;
   private final int maxHeadBytes;
   private final long maxBodyBytes;
-  private byte[] buffer = new byte[INITIAL_BYTES];
+  private byte[] buffer = NO_BYTES;
   private int start;
   private int end;
   private int headBytesScanned;
@@ -74,13 +80,6 @@
 
   /** Appends received bytes to the buffer. */
   public void feed(byte[] bytes, int offset, int length) {
-    if (start == end) {
-      start = 0;
-      end = 0;
-      if (buffer.length > MAX_KEPT_BYTES) {
-        buffer = new byte[INITIAL_BYTES];
-      }
-    }
     if (end + length > buffer.length) {
       int used = end - start;
       byte[] target = used + length > buffer.length ? new byte[grownBytes(used + length)] : buffer;
@@ -98,7 +97,7 @@
     long doubledBytes = buffer.length * 2L;
     long usefulBytes =
         state == State.LENGTH_BODY ? Math.min(doubledBytes, remainingBytes) : doubledBytes;
-    return (int) Math.max(neededBytes, usefulBytes);
+    return (int) Math.max(Math.max(neededBytes, usefulBytes), INITIAL_BYTES);
   }
 
   /** Returns whether bytes of an incomplete or unread message are buffered. */
@@ -138,6 +137,7 @@
   public Optional<HttpMessage> poll() throws MalformedMessage {
     while (true) {
       if (!readNextPart()) {
+        releaseUnusedMemory();
         return Optional.empty();
       }
       if (state == State.LENGTH_BODY && discardingBody) {
@@ -183,10 +183,30 @@
   }
 
   private HttpMessage finish(byte[] body, boolean closeDelimited) {
+    final HttpMessage message = new HttpMessage(startLine, fields, body, closeDelimited);
     state = State.HEAD;
+    startLine = null;
+    fields = List.of();
     chunkedBody = null;
     discardingBody = false;
-    return new HttpMessage(startLine, fields, body, closeDelimited);
+    releaseUnusedMemory();
+    return message;
+  }
+
+  /** Releases an empty buffer, and one that is far too large for the bytes behind a message. */
+  private void releaseUnusedMemory() {
+    int used = end - start;
+    if (used == 0) {
+      buffer = NO_BYTES;
+    } else if (state == State.HEAD
+        && buffer.length > INITIAL_BYTES
+        && used < buffer.length / MIN_USED_DIVISOR) {
+      buffer = Arrays.copyOfRange(buffer, start, start + Math.max(used, INITIAL_BYTES));
+    } else {
+      return;
+    }
+    start = 0;
+    end = used;
   }
 
   private boolean readLengthBody() {
--- a/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/protocol/message/MessageReaderTest.java
@@ -69,6 +69,54 @@
     }
   }
 
+  // Guards against kept connections that go on holding a buffer as large as their last message.
+  @ParameterizedTest
+  @ValueSource(ints = {1, 1000, 5000, 16_384, 900_000})
+  void readersHoldNoMemoryBetweenMessages(int pieceBytes) throws MalformedMessage {
+    String withLength = "POST /c HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" + "y".repeat(300_000);
+    String chunked =
+        "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + ("186a0\r\n" + "z".repeat(100_000) + "\r\n").repeat(3)
+            + "0\r\n\r\n";
+    for (String message : List.of(withLength, chunked, "GET /d HTTP/1.1\r\nHost: h\r\n\r\n")) {
+      MessageReader reader = new MessageReader(Kind.REQUEST, 1000, 1_000_000);
+
+      assertEquals(1, read(reader, message, pieceBytes));
+
+      assertEquals(0, reader.allocatedBytes());
+    }
+  }
+
+  // Guards against a large buffer that is kept for the first bytes of a request behind a body.
+  @Test
+  void fewBytesBehindBodyDoNotKeepItsBuffer() throws MalformedMessage {
+    MessageReader reader = new MessageReader(Kind.REQUEST, 1000, 1_000_000);
+    String body = "y".repeat(300_000);
+
+    int messages =
+        read(
+            reader,
+            "POST /c HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" + body + "GET /d HTTP",
+            900_000);
+
+    assertEquals(1, messages);
+    assertTrue(reader.allocatedBytes() <= 4096, reader.allocatedBytes() + " bytes");
+    assertEquals(1, read(reader, "/1.1\r\nHost: h\r\n\r\n", 900_000));
+  }
+
+  private static int read(MessageReader reader, String text, int pieceBytes)
+      throws MalformedMessage {
+    byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+    int messages = 0;
+    for (int start = 0; start < bytes.length; start += pieceBytes) {
+      reader.feed(bytes, start, Math.min(pieceBytes, bytes.length - start));
+      while (reader.poll().isPresent()) {
+        messages++;
+      }
+    }
+    return messages;
+  }
+
   // Guards against request smuggling, where two parsers disagree about the end of a request.
   @Test
   void rejectsAnAmbiguousLength() {
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
@@ -14,8 +14,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -115,6 +118,26 @@
     assertEquals(3 * LARGE_BYTES, handledBytes.get());
   }
 
+  // Guards against kept connections that use up the heap with the buffers of their last uploads.
+  @Test
+  void idleConnectionsHoldNoMemoryAfterUploads() throws Exception {
+    List<Socket> kept = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      Socket socket = connect();
+      kept.add(socket);
+      write(socket, "Content-Length: " + LARGE_BYTES, bytes(LARGE_BYTES));
+      assertEquals(200, read(socket.getInputStream()).status());
+    }
+
+    ConnectionMemory memory = onLoop(listener::memory);
+
+    assertEquals(0, memory.idleBytes());
+    assertEquals(0, memory.busyBytes());
+    for (Socket socket : kept) {
+      socket.close();
+    }
+  }
+
   // Guards against a caller that uses up the memory by sending on behind an unanswered request.
   @Test
   void requestsBehindAnUnansweredOneAreReadOnlyAfterItsAnswer() throws Exception {
@@ -151,17 +174,30 @@
   }
 
   private HttpMessage upload(String framing, byte[] body) throws IOException, MalformedMessage {
-    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
-      socket.setSoTimeout(10_000);
-      OutputStream out = socket.getOutputStream();
-      out.write(
-          ("POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n")
-              .getBytes(StandardCharsets.ISO_8859_1));
-      out.write(body);
+    try (Socket socket = connect()) {
+      write(socket, framing, body);
       return read(socket.getInputStream());
     }
   }
 
+  private Socket connect() throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(10_000);
+    return socket;
+  }
+
+  private static void write(Socket socket, String framing, byte[] body) throws IOException {
+    OutputStream out = socket.getOutputStream();
+    out.write(
+        ("POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n")
+            .getBytes(StandardCharsets.ISO_8859_1));
+    out.write(body);
+  }
+
+  private <T> T onLoop(Supplier<T> action) throws Exception {
+    return CompletableFuture.supplyAsync(action, loop).get(10, TimeUnit.SECONDS);
+  }
+
   private static byte[] bytes(int length) {
     return new byte[length];
   }
