Hold the body of a request or an answer once

Cause: a body was held up to three times: in the reader's buffer, as the message, and encoded behind a head for each server. So the budget for bodies was 0.14 of the heap.

Change: MessageReader receives a body into the array that becomes the message (BodyBuffer); EncodedMessage keeps head and body apart; MessageWriter (was ResponseWriter) sends both in parts of at most 64 kB to callers and, new, to servers. What a server's unfinished answer counts is now its allocated memory.

Why it works: what is counted is what is held, so a larger share of the heap can be given to bodies with less memory in use than before (0.24 against 3 times 0.14).

--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/HttpMessage.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/HttpMessage.java
@@ -1,6 +1,7 @@
 package org.toucanrack.internal.protocol.message;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -72,10 +73,22 @@
   }
 
   /**
-   * Returns the encoded message. Adds Content-Length if the body is not empty or {@code
-   * includeZeroLength} is set.
+   * Returns the encoded message in one array. Adds Content-Length if the body is not empty or
+   * {@code includeZeroLength} is set.
    */
   public byte[] encode(boolean includeZeroLength) {
+    byte[] head = encodeHead(includeZeroLength);
+    byte[] bytes = Arrays.copyOf(head, head.length + body.length);
+    System.arraycopy(body, 0, bytes, head.length, body.length);
+    return bytes;
+  }
+
+  /** Returns the message like {@link #encode}, with this body instead of a copy of it. */
+  public EncodedMessage encoded(boolean includeZeroLength) {
+    return new EncodedMessage(encodeHead(includeZeroLength), body);
+  }
+
+  private byte[] encodeHead(boolean includeZeroLength) {
     StringBuilder head = new StringBuilder(256).append(startLine).append("\r\n");
     for (HttpField field : fields) {
       head.append(field.name()).append(": ").append(field.value()).append("\r\n");
@@ -83,10 +96,6 @@
     if (body.length > 0 || includeZeroLength) {
       head.append("Content-Length: ").append(body.length).append("\r\n");
     }
-    byte[] headBytes = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
-    byte[] bytes = new byte[headBytes.length + body.length];
-    System.arraycopy(headBytes, 0, bytes, 0, headBytes.length);
-    System.arraycopy(body, 0, bytes, headBytes.length, body.length);
-    return bytes;
+    return head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
   }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -1,6 +1,5 @@
 package org.toucanrack.internal.protocol.message;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -66,8 +65,11 @@
   private String startLine;
   private List<HttpField> fields = List.of();
   private long remainingBytes;
-  private ByteArrayOutputStream chunkedBody;
-  private byte[] completedChunkedBody;
+
+  /** The body that is being read; null if the head is incomplete. */
+  private BodyBuffer body;
+
+  private boolean chunkedBodyComplete;
   private long trailerBytes;
   private boolean discardingBody;
 
@@ -78,11 +80,20 @@
     this.maxBodyBytes = maxBodyBytes;
   }
 
-  /** Appends received bytes to the buffer. */
+  /** Appends received bytes. Bytes of a body are added to it without a copy in between. */
   public void feed(byte[] bytes, int offset, int length) {
+    int bodyBytes = start == end ? appendToBody(bytes, offset, length) : 0;
+    appendToBuffer(bytes, offset + bodyBytes, length - bodyBytes);
+  }
+
+  private void appendToBuffer(byte[] bytes, int offset, int length) {
     if (end + length > buffer.length) {
       int used = end - start;
-      byte[] target = used + length > buffer.length ? new byte[grownBytes(used + length)] : buffer;
+      int needed = used + length;
+      byte[] target =
+          needed > buffer.length
+              ? new byte[Math.max(Math.max(needed, 2 * buffer.length), INITIAL_BYTES)]
+              : buffer;
       System.arraycopy(buffer, start, target, 0, used);
       buffer = target;
       start = 0;
@@ -92,12 +103,25 @@
     end += length;
   }
 
-  /** A buffer for a body of known length grows to no more than that length. */
-  private int grownBytes(int neededBytes) {
-    long doubledBytes = buffer.length * 2L;
-    long usefulBytes =
-        state == State.LENGTH_BODY ? Math.min(doubledBytes, remainingBytes) : doubledBytes;
-    return (int) Math.max(Math.max(neededBytes, usefulBytes), INITIAL_BYTES);
+  /** Appends bytes to the body that is being read; returns how many of them belong to it. */
+  private int appendToBody(byte[] bytes, int offset, int length) {
+    int bodyBytes =
+        switch (state) {
+          case LENGTH_BODY, CHUNK_DATA -> (int) Math.min(length, remainingBytes);
+          case UNTIL_CLOSE -> length;
+          default -> 0;
+        };
+    if (!discardingBody && bodyBytes > 0) {
+      body.append(bytes, offset, bodyBytes);
+    }
+    if (state != State.UNTIL_CLOSE) {
+      remainingBytes -= bodyBytes;
+    }
+    return bodyBytes;
+  }
+
+  private void moveBufferedBytesToBody() {
+    start += appendToBody(buffer, start, end - start);
   }
 
   /** Returns whether bytes of an incomplete or unread message are buffered. */
@@ -105,32 +129,22 @@
     return start < end || state != State.HEAD;
   }
 
-  /** Returns the number of buffered bytes of incomplete or unread messages. */
-  public long bufferedBytes() {
-    return end - start + (chunkedBody == null ? 0L : chunkedBody.size());
-  }
-
   /** Returns the memory that the reader holds, in bytes, whether or not it is used. */
   public long allocatedBytes() {
-    return buffer.length + (chunkedBody == null ? 0L : chunkedBody.size());
+    return buffer.length + (body == null ? 0 : body.allocatedBytes());
   }
 
   /** Returns the size of the body that is being read, as far as it is known. */
   public long expectedBodyBytes() {
-    return switch (state) {
-      case HEAD -> 0;
-      case LENGTH_BODY -> remainingBytes;
-      case UNTIL_CLOSE -> end - start;
-      default -> chunkedBody.size() + remainingBytes;
-    };
+    return body == null
+        ? 0
+        : body.size() + (state == State.UNTIL_CLOSE ? 0 : Math.max(0, remainingBytes));
   }
 
   /** Drops the rest of the body that is being read; its message will have an empty body. */
   public void discardBody() {
     discardingBody = true;
-    if (chunkedBody != null) {
-      chunkedBody = new ByteArrayOutputStream();
-    }
+    body = BodyBuffer.ofUnknownLength();
   }
 
   /** Returns the next message if it was received completely. */
@@ -140,19 +154,8 @@
         releaseUnusedMemory();
         return Optional.empty();
       }
-      if (state == State.LENGTH_BODY && discardingBody) {
-        start += (int) remainingBytes;
-        return Optional.of(finish(new byte[0], false));
-      }
-      if (state == State.LENGTH_BODY && end - start >= remainingBytes) {
-        byte[] body = Arrays.copyOfRange(buffer, start, start + (int) remainingBytes);
-        start += (int) remainingBytes;
-        return Optional.of(finish(body, false));
-      }
-      if (completedChunkedBody != null) {
-        byte[] body = completedChunkedBody;
-        completedChunkedBody = null;
-        return Optional.of(finish(body, false));
+      if (chunkedBodyComplete || state == State.LENGTH_BODY && remainingBytes == 0) {
+        return Optional.of(finish(false));
       }
     }
   }
@@ -166,7 +169,7 @@
       case CHUNK_DATA -> readChunkData();
       case CHUNK_END -> readChunkEnd();
       case TRAILER -> readTrailer();
-      case UNTIL_CLOSE -> checkCloseDelimitedSize();
+      case UNTIL_CLOSE -> readUntilClose();
     };
   }
 
@@ -177,17 +180,17 @@
     if (state != State.UNTIL_CLOSE) {
       return Optional.empty();
     }
-    byte[] body = Arrays.copyOfRange(buffer, start, end);
-    start = end;
-    return Optional.of(finish(body, true));
+    moveBufferedBytesToBody();
+    return Optional.of(finish(true));
   }
 
-  private HttpMessage finish(byte[] body, boolean closeDelimited) {
-    final HttpMessage message = new HttpMessage(startLine, fields, body, closeDelimited);
+  private HttpMessage finish(boolean closeDelimited) {
+    final HttpMessage message = new HttpMessage(startLine, fields, body.toArray(), closeDelimited);
     state = State.HEAD;
     startLine = null;
     fields = List.of();
-    chunkedBody = null;
+    body = null;
+    chunkedBodyComplete = false;
     discardingBody = false;
     releaseUnusedMemory();
     return message;
@@ -210,15 +213,13 @@
   }
 
   private boolean readLengthBody() {
-    if (discardingBody && end - start < remainingBytes) {
-      remainingBytes -= end - start;
-      start = end;
-    }
-    return end - start >= remainingBytes;
+    moveBufferedBytesToBody();
+    return remainingBytes == 0;
   }
 
-  private boolean checkCloseDelimitedSize() throws MalformedMessage {
-    if (end - start > maxBodyBytes) {
+  private boolean readUntilClose() throws MalformedMessage {
+    moveBufferedBytesToBody();
+    if (body.size() > maxBodyBytes) {
       throw bodyTooLarge();
     }
     return false;
@@ -328,13 +329,15 @@
     remainingBytes = length;
     boolean withoutBody = kind == Kind.RESPONSE && hasNoBody(StatusLine.statusOf(startLine));
     if (encodings > 0 && !withoutBody) {
-      chunkedBody = new ByteArrayOutputStream();
+      body = BodyBuffer.ofUnknownLength();
       trailerBytes = 0;
       state = State.CHUNK_SIZE;
     } else if (lengths > 0 || withoutBody || kind == Kind.REQUEST) {
       remainingBytes = withoutBody ? 0 : length;
+      body = BodyBuffer.ofLength(remainingBytes);
       state = State.LENGTH_BODY;
     } else {
+      body = BodyBuffer.ofUnknownLength();
       state = State.UNTIL_CLOSE;
     }
   }
@@ -372,7 +375,7 @@
       }
       remainingBytes = remainingBytes * HEXADECIMAL + digit;
     }
-    if (chunkedBody.size() + remainingBytes > maxBodyBytes) {
+    if (body.size() + remainingBytes > maxBodyBytes) {
       throw bodyTooLarge();
     }
     state = remainingBytes == 0 ? State.TRAILER : State.CHUNK_DATA;
@@ -380,12 +383,7 @@
   }
 
   private boolean readChunkData() {
-    int consumed = (int) Math.min(remainingBytes, end - start);
-    if (!discardingBody) {
-      chunkedBody.write(buffer, start, consumed);
-    }
-    start += consumed;
-    remainingBytes -= consumed;
+    moveBufferedBytesToBody();
     if (remainingBytes > 0) {
       return false;
     }
@@ -412,7 +410,7 @@
       return false;
     }
     if (line.isEmpty()) {
-      completedChunkedBody = chunkedBody.toByteArray();
+      chunkedBodyComplete = true;
     }
     trailerBytes += line.length();
     if (trailerBytes > maxHeadBytes) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttempt.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttempt.java
@@ -96,7 +96,7 @@
             .pool()
             .send(
                 server.announced().address(),
-                forwarded.encode(hasBody),
+                forwarded.encoded(hasBody),
                 new CorrelationHeader(handler.names().requestId(), request.id()),
                 CONNECT_TIMEOUT,
                 new ResponseListener() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowExchange.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RowExchange.java
@@ -105,7 +105,7 @@
         HttpMessage.of(
             "GET " + path + " HTTP/1.1", List.of(new HttpField("Host", "toucanrack-peer")));
     ConnectionPool.Call call =
-        pool.send(peer, request.encode(false), null, CONNECT_TIMEOUT, new Receiver());
+        pool.send(peer, request.encoded(false), null, CONNECT_TIMEOUT, new Receiver());
     long fetchNumber = ++lastFetchNumber;
     reactor.delayBackground(
         FETCH_TIMEOUT_MS,
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import jdk.net.ExtendedSocketOptions;
+import org.toucanrack.internal.protocol.message.EncodedMessage;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.internal.transport.relay.ResponseListener.CallFailure;
 
@@ -113,12 +114,12 @@
    * Sends a request on an idle connection to the server, or on a new one. Call on the event loop
    * only.
    *
-   * @param request the complete encoded request
+   * @param request the complete request
    * @param correlation the header that the response must repeat, or null to accept any response
    */
   public Call send(
       InetSocketAddress address,
-      byte[] request,
+      EncodedMessage request,
       CorrelationHeader correlation,
       Duration connectTimeout,
       ResponseListener listener) {
@@ -152,7 +153,7 @@
   private void onConnected(
       Call call,
       InetSocketAddress address,
-      byte[] request,
+      EncodedMessage request,
       CorrelationHeader correlation,
       TcpSocket socket,
       Exception failure) {
@@ -236,7 +237,7 @@
     return bufferBudget;
   }
 
-  private static long nowMillis() {
+  static long nowMillis() {
     return System.nanoTime() / 1_000_000;
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
@@ -21,12 +21,6 @@
   /** Interval between checks for slow and idle connections. */
   private static final long SWEEP_INTERVAL_MS = 500;
 
-  /**
-   * Share of the heap for request bodies. A body needs up to three times its size: while it is
-   * read, as a message, and encoded for a server.
-   */
-  private static final double REQUEST_BODY_HEAP_FRACTION = 0.14;
-
   /**
    * Share of the heap for responses that wait for those of earlier requests. One connection may use
    * a quarter of what is free; responses that do not fit are replaced by 502.
@@ -69,7 +63,7 @@
         handler,
         limits,
         observer,
-        new RequestBodyBudget(heapBytes(REQUEST_BODY_HEAP_FRACTION)),
+        RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
         new ResponseBufferBudget(heapBytes(HELD_RESPONSE_HEAP_FRACTION)));
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PendingResponse.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PendingResponse.java
@@ -1,8 +1,8 @@
 package org.toucanrack.internal.transport.relay;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
+import org.toucanrack.internal.protocol.message.EncodedMessage;
 import org.toucanrack.internal.protocol.message.HttpField;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 
@@ -13,6 +13,7 @@
 final class PendingResponse {
 
   private static final HttpField CONNECTION_CLOSE = new HttpField("Connection", "close");
+  private static final byte[] NO_BODY = {};
   private static final Runnable NO_ACTION = () -> {};
 
   private final HttpMessage request;
@@ -67,15 +68,15 @@
   }
 
   /** Returns the encoded response; that to HEAD has no body. */
-  byte[] encode(boolean closesConnection) {
+  EncodedMessage encode(boolean closesConnection) {
     List<HttpField> fields = new ArrayList<>(response.fields());
     if (closesConnection && !response.closesConnection()) {
       fields.add(CONNECTION_CLOSE);
     }
-    byte[] body = response.body();
-    byte[] bytes = HttpMessage.of(response.startLine(), fields, body).encode(true);
+    EncodedMessage encoded =
+        HttpMessage.of(response.startLine(), fields, response.body()).encoded(true);
     boolean withoutBody = request.method().equals("HEAD");
-    return withoutBody ? Arrays.copyOf(bytes, bytes.length - body.length) : bytes;
+    return withoutBody ? new EncodedMessage(encoded.head(), NO_BODY) : encoded;
   }
 
   void onAbandoned(Runnable action) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PooledConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PooledConnection.java
@@ -3,7 +3,9 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
+import org.toucanrack.internal.protocol.message.EncodedMessage;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.internal.protocol.message.MalformedMessage;
 import org.toucanrack.internal.protocol.message.MessageReader;
@@ -33,7 +35,8 @@
   private final MessageReader reader;
   private Call current;
   private CorrelationHeader correlation;
-  private boolean writing;
+  private final MessageWriter writer;
+  private boolean writingParts;
   private int skippedResponses;
   private boolean mismatchedResponse;
   private long bufferedBytes;
@@ -50,6 +53,7 @@
     this.pool = pool;
     this.address = address;
     this.socket = socket;
+    this.writer = new MessageWriter(socket);
     this.counter = counter;
     this.reader = new MessageReader(MessageReader.Kind.RESPONSE, maxHeadBytes, maxBodyBytes);
   }
@@ -75,21 +79,33 @@
     usableUntilMillis = millis;
   }
 
-  void send(byte[] request, CorrelationHeader expectedCorrelation, Call call) {
+  void send(EncodedMessage request, CorrelationHeader expectedCorrelation, Call call) {
     current = call;
     correlation = expectedCorrelation;
     skippedResponses = 0;
-    writing = true;
-    counter.sent(request.length);
-    socket
-        .write(ByteBuf.wrapForReading(request))
-        .subscribe(
-            (ok, failure) -> {
-              writing = false;
-              if (failure != null) {
-                abort("write: " + failure.getMessage());
-              }
-            });
+    counter.sent(request.length());
+    writer.start(List.of(request));
+    writeParts();
+  }
+
+  /** Parts that are written at once continue this loop, so that large bodies need no deep stack. */
+  private void writeParts() {
+    if (writingParts) {
+      return;
+    }
+    writingParts = true;
+    while (!closed && writer.hasMore() && !writer.isWriting()) {
+      writer.writePart(ConnectionPool.nowMillis(), this::onPartWritten);
+    }
+    writingParts = false;
+  }
+
+  private void onPartWritten(Exception failure) {
+    if (failure != null) {
+      abort("write: " + failure.getMessage());
+    } else {
+      writeParts();
+    }
   }
 
   void close() {
@@ -130,7 +146,7 @@
       return;
     }
     readResponses();
-    if (!closed && !updateBufferedBytes(reader.bufferedBytes())) {
+    if (!closed && !updateBufferedBytes(reader.allocatedBytes())) {
       abort("answer: the memory for unfinished answers is used up");
     }
     readNext();
@@ -178,7 +194,8 @@
     Call call = current;
     current = null;
     boolean reusable =
-        !writing
+        !writer.isWriting()
+            && !writer.hasMore()
             && !mismatchedResponse
             && !reader.hasBufferedBytes()
             && !response.closesConnection();
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestBodyBudget.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestBodyBudget.java
@@ -14,6 +14,12 @@
 
   private static final double LARGE_BODIES_FRACTION = 0.75;
 
+  /**
+   * Share of the heap. A body is held once: it is received into the array that the request keeps
+   * and that is sent to servers. While that array grows, a second one of half the size is needed.
+   */
+  private static final double HEAP_FRACTION = 0.24;
+
   private final long limitBytes;
   private long usedBytes;
 
@@ -22,6 +28,11 @@
     this.limitBytes = limitBytes;
   }
 
+  /** Creates the budget of a process with a heap of this many bytes. */
+  static RequestBodyBudget ofHeap(long heapBytes) {
+    return new RequestBodyBudget((long) (HEAP_FRACTION * heapBytes));
+  }
+
   /**
    * Reserves memory for a body, or for more of it.
    *
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestReader.java
@@ -62,11 +62,6 @@
     return reader.hasBufferedBytes();
   }
 
-  /** Returns the bytes received of requests that were not taken. */
-  long bufferedBytes() {
-    return reader.bufferedBytes() + (next == null ? 0 : next.body().length);
-  }
-
   /** Returns the memory in bytes that is held for requests that were not taken. */
   long allocatedBytes() {
     return reader.allocatedBytes() + (next == null ? 0 : next.body().length);
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
@@ -2,9 +2,10 @@
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.ITcpSocket;
-import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.toucanrack.internal.protocol.message.EncodedMessage;
 import org.toucanrack.internal.protocol.message.HttpField;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.internal.protocol.message.MalformedMessage;
@@ -40,7 +41,7 @@
   private final HttpListener listener;
   private final ITcpSocket socket;
   private final RequestReader reader;
-  private final ResponseWriter writer;
+  private final MessageWriter writer;
   private final ResponseQueue queue = new ResponseQueue();
 
   /** Start of the wait for the rest of a request or for the next request. */
@@ -58,7 +59,7 @@
   ServerConnection(HttpListener listener, ITcpSocket socket, long nowMillis) {
     this.listener = listener;
     this.socket = socket;
-    this.writer = new ResponseWriter(socket);
+    this.writer = new MessageWriter(socket);
     this.waitingSinceMillis = nowMillis;
     this.reader = new RequestReader(listener.limits(), listener.bodyBudget());
   }
@@ -122,7 +123,7 @@
 
   /** Bounds the bytes that are buffered behind requests that have no answer yet. */
   private boolean pausesReading() {
-    return !queue.isEmpty() && !queue.isClosed() && reader.bufferedBytes() > MAX_READ_AHEAD_BYTES;
+    return !queue.isEmpty() && !queue.isClosed() && reader.allocatedBytes() > MAX_READ_AHEAD_BYTES;
   }
 
   private void onRead(ByteBuf bytes, Exception failure) {
@@ -218,7 +219,7 @@
     }
     if (!writer.hasMore()) {
       List<PendingResponse> ready =
-          queue.startWriting(ResponseWriter.MAX_PART_BYTES, listener.isClosing());
+          queue.startWriting(MessageWriter.MAX_PART_BYTES, listener.isClosing());
       if (ready.isEmpty()) {
         return false;
       }
@@ -229,16 +230,16 @@
     return true;
   }
 
-  private byte[] encode(List<PendingResponse> responses) {
-    ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private List<EncodedMessage> encode(List<PendingResponse> responses) {
+    List<EncodedMessage> encoded = new ArrayList<>(responses.size());
     long now = listener.nowMillis();
     for (PendingResponse pending : responses) {
       if (pending.isHeld()) {
         listener.observer().responseHeld(pending.request(), now - pending.completedMillis());
       }
-      output.writeBytes(pending.encode(queue.closesAfter(pending)));
+      encoded.add(pending.encode(queue.closesAfter(pending)));
     }
-    return output.toByteArray();
+    return encoded;
   }
 
   private void onPartWritten(Exception failure) {
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/ConnectionPoolTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/ConnectionPoolTest.java
@@ -5,7 +5,6 @@
 import io.activej.eventloop.Eventloop;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,8 +22,8 @@
 
   private static final int ANSWER_BYTES = 300_000;
   private static final int CALLS = 10;
-  private static final byte[] REQUEST =
-      "GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+  private static final HttpMessage REQUEST =
+      HttpMessage.of("GET / HTTP/1.1", List.of(new HttpField("Host", "h")));
 
   private final Eventloop loop = Eventloop.create();
   private final InetSocketAddress address =
@@ -89,7 +88,7 @@
   private void send(ConnectionPool target, CompletableFuture<HttpMessage> answer) {
     target.send(
         address,
-        REQUEST,
+        REQUEST.encoded(false),
         null,
         Duration.ofSeconds(5),
         new ResponseListener() {
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/RequestBodyBudgetTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/RequestBodyBudgetTest.java
@@ -20,6 +20,19 @@
     assertTrue(budget.tryReserve(0, RequestBodyBudget.SMALL_BODY_BYTES));
   }
 
+  // Guards against uploads that are refused for lack of memory while servers are free: a burst of
+  // 30
+  // uploads a second of 360 kB, each answered after a second, with as many again waiting for a
+  // slot.
+  @Test
+  void burstOfUploadsFitsIntoTheHeapOfAnEntryVm() {
+    RequestBodyBudget ofEntryVm = RequestBodyBudget.ofHeap(96L * 1024 * 1024);
+
+    for (int i = 0; i < 45; i++) {
+      assertTrue(ofEntryVm.tryReserve(0, 360_000), "upload " + i);
+    }
+  }
+
   // Guards against a growing body that is counted twice, or that keeps its memory.
   @Test
   void growingBodiesReplaceTheirReservation() {
