Count all memory that callers' connections hold for requests

What callers would see: the process ends out of memory although each connection and the bodies keep their limits. Not counted were up to 64 kB read behind unanswered requests of each connection (262 MB at 4,100 connections), complete requests that wait for their turn, heads, and running requests without a body.

Change: RequestMemoryBudget (was RequestBodyBudget) counts, for each connection, what its reader holds, requests that wait, running requests until their answer is written, and the rest of a body whose turn has come. When it is used up, connections with unanswered requests are not read until one of their answers is written; a request without others before it is refused at once with 503 and Retry-After, as not run. The refusal is logged with the request's id (why=memory) and counted in toucanrack_refusals_total; before, it left no trace. PipelineObserver and PipelineReporter are ListenerObserver and ListenerReporter now, since they report this as well.

Why it works: a connection reads at most once after the memory is used up, and waits only behind requests that end by their time-outs.

Tests: requestsThatWaitOnManyConnectionsFitIntoTheMemoryTogether and requestsWithoutBodiesThatDoNotFitIntoMemoryAreRefusedAsNotRun. Two tests of PipeliningTest expected that a waiting body counts 0 bytes, although up to 64 kB of it were held; they now expect exactly the memory that the connection holds, below the read-ahead limit, and for the running upload its size and at most 1,000 bytes.

--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/HttpMessage.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/HttpMessage.java
@@ -20,6 +20,11 @@
 
   private static final byte[] NO_BODY = {};
 
+  /** Memory of the objects of a message and of a field, besides the characters and the body. */
+  private static final int MESSAGE_OVERHEAD_BYTES = 128;
+
+  private static final int FIELD_OVERHEAD_BYTES = 112;
+
   /** Copies the fields. */
   public HttpMessage {
     Objects.requireNonNull(startLine, "startLine");
@@ -72,6 +77,19 @@
                     field.isNamed("connection") && field.value().toLowerCase().contains("close"));
   }
 
+  /** Returns the approximate memory in bytes that the message needs. */
+  public long memoryBytes() {
+    return headMemoryBytes(startLine, fields) + body.length;
+  }
+
+  static long headMemoryBytes(String startLine, List<HttpField> fields) {
+    long bytes = MESSAGE_OVERHEAD_BYTES + startLine.length();
+    for (HttpField field : fields) {
+      bytes += FIELD_OVERHEAD_BYTES + field.name().length() + field.value().length();
+    }
+    return bytes;
+  }
+
   /**
    * Returns the encoded message in one array. Adds Content-Length if the body is not empty or
    * {@code includeZeroLength} is set.
--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -69,6 +69,7 @@
   /** The body that is being read; null if the head is incomplete. */
   private BodyBuffer body;
 
+  private long headMemoryBytes;
   private boolean chunkedBodyComplete;
   private long trailerBytes;
   private boolean discardingBody;
@@ -131,20 +132,32 @@
 
   /** Returns the memory that the reader holds, in bytes, whether or not it is used. */
   public long allocatedBytes() {
-    return buffer.length + (body == null ? 0 : body.allocatedBytes());
+    return buffer.length + (body == null ? 0 : headMemoryBytes + body.allocatedBytes());
   }
 
-  /** Returns the size of the body that is being read, as far as it is known. */
-  public long expectedBodyBytes() {
+  /**
+   * Returns the memory in bytes that the reader will hold when the message that is being read is
+   * complete, as far as its size is known.
+   */
+  public long requiredBytes() {
+    long missingBytes =
+        state == State.LENGTH_BODY || state == State.CHUNK_DATA ? remainingBytes : 0;
     return body == null
-        ? 0
-        : body.size() + (state == State.UNTIL_CLOSE ? 0 : Math.max(0, remainingBytes));
+        ? allocatedBytes()
+        : Math.max(allocatedBytes(), buffer.length + headMemoryBytes + body.size() + missingBytes);
+  }
+
+  /** Returns the head of the message whose body is being read. */
+  public Optional<HttpMessage> head() {
+    return body == null ? Optional.empty() : Optional.of(HttpMessage.of(startLine, fields));
   }
 
-  /** Drops the rest of the body that is being read; its message will have an empty body. */
+  /** Drops the body of the message that is being read; the message will have an empty body. */
   public void discardBody() {
     discardingBody = true;
-    body = BodyBuffer.ofUnknownLength();
+    if (body != null) {
+      body = BodyBuffer.ofUnknownLength();
+    }
   }
 
   /** Returns the next message if it was received completely. */
@@ -276,6 +289,7 @@
       parsed.add(parseField(lines[i]));
     }
     fields = parsed;
+    headMemoryBytes = HttpMessage.headMemoryBytes(startLine, fields);
     startBody();
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PipelineReporter.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ListenerReporter.java
@@ -2,14 +2,14 @@
 
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.message.HttpMessage;
-import org.toucanrack.internal.transport.relay.PipelineObserver;
+import org.toucanrack.internal.transport.relay.ListenerObserver;
 import org.toucanrack.steering.HeaderNames;
 
 /**
- * Records how pipelined requests are handled in the metrics, and long holds of responses in the
- * decision log. Confined to the traffic thread.
+ * Records how pipelined requests are handled in the metrics, and refusals for lack of memory and
+ * long holds of responses in the decision log. Confined to the traffic thread.
  */
-final class PipelineReporter implements PipelineObserver {
+final class ListenerReporter implements ListenerObserver {
 
   /**
    * Shorter holds are logged for sampled requests only. Latency objectives are a few hundred
@@ -17,11 +17,13 @@
    */
   static final long LOGGED_HOLD_MS = 100;
 
+  private static final int UNAVAILABLE = 503;
+
   private final HeaderNames names;
   private final DecisionLog log;
   private final EntryMetrics metrics;
 
-  PipelineReporter(HeaderNames names, DecisionLog log, EntryMetrics metrics) {
+  ListenerReporter(HeaderNames names, DecisionLog log, EntryMetrics metrics) {
     this.names = names;
     this.log = log;
     this.metrics = metrics;
@@ -58,6 +60,12 @@
     log.request("cancelled-behind-close", requestId(request));
   }
 
+  @Override
+  public void refusedForMemory(HttpMessage head) {
+    metrics.countRefusal("memory");
+    log.request("answer", requestId(head), "status", UNAVAILABLE, "why", "memory");
+  }
+
   private String requestId(HttpMessage request) {
     return request.field(names.requestId()).orElse("-");
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
@@ -125,7 +125,7 @@
             settings.endpoints().callers(),
             this,
             this::listenerLimits,
-            new PipelineReporter(names, log, metrics));
+            new ListenerReporter(names, log, metrics));
   }
 
   void listen() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionMemory.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionMemory.java
@@ -1,8 +1,8 @@
 package org.toucanrack.internal.transport.relay;
 
 /**
- * The memory that the connections of a listener or of a pool hold for received bytes. Immutable and
- * thread-safe.
+ * The memory that the connections of a listener hold for requests, or those of a pool for answers.
+ * Immutable and thread-safe.
  *
  * @param idleBytes bytes held by connections without a request
  * @param busyBytes bytes held by connections on which a request is being received or handled
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
@@ -32,9 +32,9 @@
   private final RequestHandler handler;
   private final Supplier<ListenerLimits> limits;
   private final Set<ServerConnection> connections = new HashSet<>();
-  private final RequestBodyBudget bodyBudget;
+  private final RequestMemoryBudget requestBudget;
   private final ResponseBufferBudget heldResponseBudget;
-  private final PipelineObserver observer;
+  private final ListenerObserver observer;
   private final SimpleServer server;
   private boolean closing;
 
@@ -47,7 +47,7 @@
       InetSocketAddress address,
       RequestHandler handler,
       Supplier<ListenerLimits> limits) {
-    this(reactor, address, handler, limits, PipelineObserver.NONE);
+    this(reactor, address, handler, limits, ListenerObserver.NONE);
   }
 
   /** Creates a listener whose pipelined requests are observed. */
@@ -56,14 +56,14 @@
       InetSocketAddress address,
       RequestHandler handler,
       Supplier<ListenerLimits> limits,
-      PipelineObserver observer) {
+      ListenerObserver observer) {
     this(
         reactor,
         address,
         handler,
         limits,
         observer,
-        RequestBodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+        RequestMemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()),
         new ResponseBufferBudget(heapBytes(HELD_RESPONSE_HEAP_FRACTION)));
   }
 
@@ -72,12 +72,12 @@
       InetSocketAddress address,
       RequestHandler handler,
       Supplier<ListenerLimits> limits,
-      PipelineObserver observer,
-      RequestBodyBudget bodyBudget,
+      ListenerObserver observer,
+      RequestMemoryBudget requestBudget,
       ResponseBufferBudget heldResponseBudget) {
     this.reactor = reactor;
     this.observer = observer;
-    this.bodyBudget = bodyBudget;
+    this.requestBudget = requestBudget;
     this.heldResponseBudget = heldResponseBudget;
     this.address = address;
     this.handler = handler;
@@ -115,15 +115,15 @@
     return busy;
   }
 
-  /** Returns the memory that the connections hold for received bytes. */
+  /** Returns the memory that the connections hold for requests. */
   public ConnectionMemory memory() {
     long idleBytes = 0;
     long busyBytes = 0;
     for (ServerConnection connection : connections) {
       if (connection.isIdle()) {
-        idleBytes += connection.receivedBytes();
+        idleBytes += connection.requestBytes();
       } else {
-        busyBytes += connection.receivedBytes();
+        busyBytes += connection.requestBytes();
       }
     }
     return new ConnectionMemory(idleBytes, busyBytes);
@@ -145,15 +145,15 @@
     return handler;
   }
 
-  RequestBodyBudget bodyBudget() {
-    return bodyBudget;
+  RequestMemoryBudget requestBudget() {
+    return requestBudget;
   }
 
   ResponseBufferBudget heldResponseBudget() {
     return heldResponseBudget;
   }
 
-  PipelineObserver observer() {
+  ListenerObserver observer() {
     return observer;
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PipelineObserver.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ListenerObserver.java
@@ -3,13 +3,13 @@
 import org.toucanrack.internal.protocol.message.HttpMessage;
 
 /**
- * Observes how the requests behind unanswered ones are handled. Called on the listener's event
- * loop.
+ * Observes the requests that wait behind unanswered ones of their connection, and those that the
+ * listener itself refuses. Called on the listener's event loop.
  */
-public interface PipelineObserver {
+public interface ListenerObserver {
 
   /** Observes nothing. */
-  PipelineObserver NONE = new PipelineObserver() {};
+  ListenerObserver NONE = new ListenerObserver() {};
 
   /** Called when a request is started before the earlier ones of its connection are answered. */
   default void startedBehindOthers(HttpMessage request) {}
@@ -25,4 +25,7 @@
 
   /** Called when a running request was cancelled behind a response that closes the connection. */
   default void cancelledBehindClose(HttpMessage request) {}
+
+  /** Called when a request is refused as not run since it does not fit into memory. */
+  default void refusedForMemory(HttpMessage head) {}
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PendingResponse.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/PendingResponse.java
@@ -17,6 +17,7 @@
   private static final Runnable NO_ACTION = () -> {};
 
   private final HttpMessage request;
+  private final long requestBytes;
   private HttpMessage response;
   private long completedMillis;
   private boolean held;
@@ -24,6 +25,12 @@
 
   PendingResponse(HttpMessage request) {
     this.request = request;
+    this.requestBytes = request.memoryBytes();
+  }
+
+  /** Returns the memory in bytes that the request needs. */
+  long requestBytes() {
+    return requestBytes;
   }
 
   HttpMessage request() {
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestReader.java
@@ -7,15 +7,15 @@
 import org.toucanrack.internal.protocol.message.MessageReader;
 
 /**
- * Reads the requests of one connection and reserves memory for their bodies.
+ * Reads the requests of one connection and reserves memory for them.
  *
- * <p>Invariant: at most one body is reserved at a time, that of the first request that is not
- * answered; it is reserved until {@link #releaseBody}. Confined to one event loop.
+ * <p>Invariant: all memory that the connection holds for requests is counted in the budget after
+ * each {@link #reserve}, also if it does not fit. Confined to one event loop.
  */
 final class RequestReader {
 
   private final MessageReader reader;
-  private final RequestBodyBudget budget;
+  private final RequestMemoryBudget budget;
 
   /** A request that was read and not taken yet, or null. */
   private HttpMessage next;
@@ -24,7 +24,7 @@
   private boolean discarding;
   private boolean discarded;
 
-  RequestReader(ListenerLimits limits, RequestBodyBudget budget) {
+  RequestReader(ListenerLimits limits, RequestMemoryBudget budget) {
     this.reader =
         new MessageReader(MessageReader.Kind.REQUEST, limits.maxHeadBytes(), limits.maxBodyBytes());
     this.budget = budget;
@@ -63,31 +63,53 @@
   }
 
   /** Returns the memory in bytes that is held for requests that were not taken. */
-  long allocatedBytes() {
-    return reader.allocatedBytes() + (next == null ? 0 : next.body().length);
+  long heldBytes() {
+    return reader.allocatedBytes() + (next == null ? 0 : next.memoryBytes());
   }
 
-  /** Reserves memory for the body that is being read; returns whether there was enough. */
-  boolean reserveBody() {
-    long bytes = reader.expectedBodyBytes();
-    if (bytes <= reservedBytes) {
-      return true;
+  /**
+   * Reserves memory for all requests of the connection: those that were taken and those that were
+   * received; for the next one also the rest of its body if no other is unanswered.
+   *
+   * @param takenBytes the memory of the requests that were taken and are not answered
+   * @return whether there was enough; otherwise only what is held already is counted
+   */
+  boolean reserve(long takenBytes) {
+    long heldBytes = takenBytes + heldBytes();
+    long missingBytes = takenBytes == 0 ? reader.requiredBytes() - reader.allocatedBytes() : 0;
+    boolean fits = budget.tryReserve(reservedBytes, heldBytes + missingBytes);
+    if (fits) {
+      reservedBytes = heldBytes + missingBytes;
+    } else {
+      budget.replace(reservedBytes, heldBytes);
+      reservedBytes = heldBytes;
     }
-    boolean reserved = budget.tryReserve(reservedBytes, bytes);
-    reservedBytes = reserved ? bytes : reservedBytes;
-    return reserved;
+    return fits;
   }
 
-  void releaseBody() {
+  void release() {
     budget.release(reservedBytes);
     reservedBytes = 0;
   }
 
-  /** Drops the body that is being read, and its memory; no request is returned any more. */
+  /** Returns the head of the request that is next, if it was received. */
+  Optional<HttpMessage> nextHead() {
+    return next == null ? reader.head() : Optional.of(next);
+  }
+
+  /**
+   * Drops the next request, or what was received of it, with its memory; the rest of it is read and
+   * ignored. No request is returned any more.
+   */
   void startDiscarding() {
     discarding = true;
-    reader.discardBody();
-    releaseBody();
+    if (next == null) {
+      reader.discardBody();
+    } else {
+      next = null;
+      discarded = true;
+    }
+    release();
   }
 
   /** Reads on a body that is dropped; returns whether its end was received. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ResponseQueue.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ResponseQueue.java
@@ -29,6 +29,7 @@
 
   private final Deque<PendingResponse> pending = new ArrayDeque<>();
   private int writing;
+  private long requestBytes;
   private boolean closed;
 
   /** Returns whether all responses were written. */
@@ -69,6 +70,7 @@
     }
     PendingResponse added = new PendingResponse(request);
     pending.addLast(added);
+    requestBytes += added.requestBytes();
     closed = request.closesConnection();
     return added;
   }
@@ -99,7 +101,9 @@
   List<PendingResponse> removeBehind(PendingResponse last) {
     List<PendingResponse> removed = new ArrayList<>();
     while (pending.contains(last) && pending.getLast() != last) {
-      removed.add(0, pending.removeLast());
+      PendingResponse removedLast = pending.removeLast();
+      requestBytes -= removedLast.requestBytes();
+      removed.add(0, removedLast);
     }
     return removed;
   }
@@ -134,10 +138,15 @@
   /** Removes the responses that were written. */
   void finishWriting() {
     for (; writing > 0; writing--) {
-      pending.removeFirst();
+      requestBytes -= pending.removeFirst().requestBytes();
     }
   }
 
+  /** Returns the memory in bytes of the requests in the queue. */
+  long requestBytes() {
+    return requestBytes;
+  }
+
   /** Returns the bytes of complete responses that are not being written. */
   long heldBytes() {
     long bytes = 0;
@@ -154,6 +163,7 @@
   List<PendingResponse> removeAll() {
     final List<PendingResponse> removed = new ArrayList<>(pending);
     pending.clear();
+    requestBytes = 0;
     writing = 0;
     closed = true;
     return removed;
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
@@ -15,8 +15,9 @@
  *
  * <p>Invariants: requests are started as {@link ResponseQueue} allows and answered in the order in
  * which they were read. The connection is read while requests run, to detect a caller that
- * disconnects, until a limited number of bytes wait behind them. A request whose body does not fit
- * into the memory for bodies is refused before it is handled. Confined to one event loop.
+ * disconnects, until a limited number of bytes wait behind them. A request that does not fit into
+ * the memory for requests is refused before it is handled, or waits while earlier ones of its
+ * connection run. Confined to one event loop.
  */
 final class ServerConnection {
 
@@ -29,8 +30,8 @@
    */
   private static final long MAX_LINGER_MS = 1000;
 
-  /** Callers retry a request after this time if its body did not fit into memory. */
-  private static final int BODY_RETRY_AFTER_SECONDS = 1;
+  /** Callers retry a request after this time if it did not fit into memory. */
+  private static final int MEMORY_RETRY_AFTER_SECONDS = 1;
 
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
@@ -53,6 +54,9 @@
   private boolean processing;
   private boolean closed;
 
+  /** Whether the requests of this connection did not fit into memory when it was last reserved. */
+  private boolean memoryShort;
+
   /** Bytes of complete responses that are counted in the listener's budget. */
   private long heldBytes;
 
@@ -61,7 +65,7 @@
     this.socket = socket;
     this.writer = new MessageWriter(socket);
     this.waitingSinceMillis = nowMillis;
-    this.reader = new RequestReader(listener.limits(), listener.bodyBudget());
+    this.reader = new RequestReader(listener.limits(), listener.requestBudget());
   }
 
   void start() {
@@ -73,9 +77,9 @@
     return lingering || queue.isEmpty() && !reader.hasNext() && !reader.inRequest();
   }
 
-  /** Returns the memory in bytes that is held for requests that were received and not started. */
-  long receivedBytes() {
-    return reader.allocatedBytes();
+  /** Returns the memory in bytes that is held for requests without an answer. */
+  long requestBytes() {
+    return reader.heldBytes() + queue.requestBytes();
   }
 
   /**
@@ -106,7 +110,7 @@
     if (!closed) {
       closed = true;
       listener.remove(this);
-      reader.releaseBody();
+      reader.release();
       listener.heldResponseBudget().update(heldBytes, 0);
       socket.close();
       queue.removeAll().forEach(PendingResponse::abandon);
@@ -121,9 +125,20 @@
     socket.read().subscribe(this::onRead);
   }
 
-  /** Bounds the bytes that are buffered behind requests that have no answer yet. */
+  /**
+   * Bounds the bytes that are buffered behind requests that have no answer yet. The connection is
+   * read again after one of its answers at the latest.
+   */
   private boolean pausesReading() {
-    return !queue.isEmpty() && !queue.isClosed() && reader.allocatedBytes() > MAX_READ_AHEAD_BYTES;
+    return !queue.isEmpty()
+        && !queue.isClosed()
+        && (memoryShort || reader.heldBytes() > MAX_READ_AHEAD_BYTES);
+  }
+
+  /** Returns whether the requests of this connection fit into the memory for all connections. */
+  private boolean reserveMemory() {
+    memoryShort = !reader.reserve(queue.requestBytes());
+    return !memoryShort;
   }
 
   private void onRead(ByteBuf bytes, Exception failure) {
@@ -187,11 +202,12 @@
       reject(e.status(), e.getMessage());
       return true;
     }
+    boolean fits = reserveMemory();
+    if (!fits && queue.isEmpty()) {
+      refuseForMemory();
+      return true;
+    }
     if (next.isEmpty()) {
-      // A body behind unanswered requests is bounded by the bytes that are read ahead.
-      if (queue.isEmpty() && !reader.reserveBody()) {
-        refuseBody();
-      }
       return false;
     }
     if (!queue.mayStart(next.get())) {
@@ -200,8 +216,10 @@
       }
       return false;
     }
-    startRequest(reader.take());
-    return true;
+    if (fits) {
+      startRequest(reader.take());
+    }
+    return fits;
   }
 
   private void startRequest(HttpMessage request) {
@@ -256,7 +274,7 @@
         waitingSinceMillis = listener.nowMillis();
       }
       if (queue.isEmpty()) {
-        reader.releaseBody();
+        reader.release();
         linger();
       }
     }
@@ -278,10 +296,11 @@
         });
   }
 
-  /** Refuses a request whose body does not fit into memory; the rest of it is discarded. */
-  private void refuseBody() {
+  /** Refuses a request that does not fit into memory; the rest of it is discarded. */
+  private void refuseForMemory() {
+    listener.observer().refusedForMemory(reader.nextHead().orElse(UNREADABLE));
     reader.startDiscarding();
-    HttpField retryAfter = new HttpField("Retry-After", Long.toString(BODY_RETRY_AFTER_SECONDS));
+    HttpField retryAfter = new HttpField("Retry-After", Long.toString(MEMORY_RETRY_AFTER_SECONDS));
     answerAndClose(HttpMessage.of(Responses.statusLine(UNAVAILABLE), List.of(retryAfter)));
     discardBody();
   }
