Share the memory of the internal listeners and halve that of store answers

Cause: each listener claimed 0.24 of the heap for requests and 0.05 for responses, and a process has up to five; the pool to the store and to peers claimed another 0.2. Together that was more than the heap, so that no limit bounded the process.

Change: ListenerBudgets holds the two budgets.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -23,6 +23,7 @@
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.internal.transport.relay.ConnectionPool;
 import org.toucanrack.internal.transport.relay.HttpListener;
+import org.toucanrack.internal.transport.relay.ListenerBudgets;
 import org.toucanrack.internal.transport.relay.ListenerLimits;
 import org.toucanrack.internal.transport.relay.RequestHandler;
 import org.toucanrack.internal.transport.relay.Responses;
@@ -69,6 +70,13 @@
 
   private static final int MAX_STORE_HEAD_BYTES = 16 * 1024;
   private static final long MAX_STORE_BODY_BYTES = 64L * 1024 * 1024;
+
+  /**
+   * Share of the heap for unfinished answers of the store and of other VMs. Answers of the store
+   * have about 1 MB at most; one connection may use a quarter of what is free, 2.4 MB of 96 MB.
+   */
+  private static final double STORE_ANSWER_HEAP_FRACTION = 0.1;
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
@@ -84,6 +92,8 @@
   private final Optional<UsageCounter> usageCounter;
   private final TrafficHandler traffic;
   private final EntryController controller;
+  private final ListenerBudgets internalBudgets =
+      ListenerBudgets.ofInternalListeners(Runtime.getRuntime().maxMemory());
   private final HttpListener readinessListener;
   private final HttpListener lookupListener;
   private final HttpListener peerListener;
@@ -110,7 +120,11 @@
             this::requestTokens,
             usageCounter);
     ConnectionPool controlPool =
-        new ConnectionPool(controlLoop, MAX_STORE_HEAD_BYTES, MAX_STORE_BODY_BYTES);
+        new ConnectionPool(
+            controlLoop,
+            MAX_STORE_HEAD_BYTES,
+            MAX_STORE_BODY_BYTES,
+            (long) (STORE_ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     this.controller =
         new EntryController(
             controlLoop,
@@ -281,7 +295,8 @@
   }
 
   private HttpListener internalListener(InetSocketAddress address, RequestHandler handler) {
-    return new HttpListener(controlLoop, address, handler, () -> ListenerLimits.INTERNAL);
+    return new HttpListener(
+        controlLoop, address, handler, () -> ListenerLimits.INTERNAL, internalBudgets);
   }
 
   private void requestTokens(CustomerId customer) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
@@ -22,6 +22,7 @@
 import org.toucanrack.internal.serve.entry.TrafficBytes.Purpose;
 import org.toucanrack.internal.transport.relay.ConnectionPool;
 import org.toucanrack.internal.transport.relay.HttpListener;
+import org.toucanrack.internal.transport.relay.ListenerBudgets;
 import org.toucanrack.internal.transport.relay.ListenerLimits;
 import org.toucanrack.internal.transport.relay.RequestHandler;
 import org.toucanrack.internal.transport.relay.TransferCounter;
@@ -43,6 +44,9 @@
 
   private static final long MAX_ANSWER_BODY_BYTES = 4L * 1024 * 1024;
 
+  /** Share of the heap for unfinished answers; a connection may use a quarter of what is free. */
+  private static final double ANSWER_HEAP_FRACTION = 0.2;
+
   /**
    * Callers retry after this time while this VM has no configuration: about one read of the store.
    */
@@ -104,7 +108,11 @@
     this.headers = new ForwardedHeaders(names);
     this.state = new TrafficState(settings, now());
     this.pool =
-        new ConnectionPool(reactor, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES)
+        new ConnectionPool(
+                reactor,
+                MAX_ANSWER_HEAD_BYTES,
+                MAX_ANSWER_BODY_BYTES,
+                (long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()))
             .counting(this::serverBytes);
     this.log = log;
     this.metrics = metrics;
@@ -125,6 +133,7 @@
             settings.endpoints().callers(),
             this,
             this::listenerLimits,
+            ListenerBudgets.ofCallers(Runtime.getRuntime().maxMemory()),
             new ListenerReporter(names, log, metrics));
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ConnectionPool.java
@@ -48,9 +48,6 @@
   private static final int KEEP_ALIVE_INTERVAL_S = 1;
   private static final int KEEP_ALIVE_PROBES = 2;
 
-  /** Share of the heap for incomplete responses; a growing buffer briefly needs twice its size. */
-  private static final double RESPONSE_BUFFER_HEAP_FRACTION = 0.2;
-
   private static final Logger LOGGER = System.getLogger(ConnectionPool.class.getName());
 
   private final NioReactor reactor;
@@ -61,14 +58,20 @@
   private final TransferCounter.Source counters;
   private long openedConnections;
 
-  /** Creates a pool that accepts responses up to these sizes in bytes. */
-  public ConnectionPool(NioReactor reactor, int maxResponseHeadBytes, long maxResponseBodyBytes) {
+  /**
+   * Creates a pool that accepts responses up to these sizes in bytes, and holds at most {@code
+   * maxBufferedBytes} of all unfinished responses together.
+   */
+  public ConnectionPool(
+      NioReactor reactor,
+      int maxResponseHeadBytes,
+      long maxResponseBodyBytes,
+      long maxBufferedBytes) {
     this(
         reactor,
         maxResponseHeadBytes,
         maxResponseBodyBytes,
-        new ResponseBufferBudget(
-            (long) (RESPONSE_BUFFER_HEAP_FRACTION * Runtime.getRuntime().maxMemory())),
+        new ResponseBufferBudget(maxBufferedBytes),
         address -> TransferCounter.NONE);
   }
 
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/HttpListener.java
@@ -23,13 +23,6 @@
   /** Interval between checks for slow and idle connections. */
   private static final long SWEEP_INTERVAL_MS = 500;
 
-  /**
-   * Share of the heap for responses that callers have not accepted yet. A connection may use a
-   * quarter of what is free for responses that wait for earlier ones; those that do not fit are
-   * replaced by 502.
-   */
-  private static final double RESPONSE_HEAP_FRACTION = 0.05;
-
   /**
    * A caller that accepts nothing for this time is closed if the memory for responses is used up.
    * The kernel accepts more bytes only after a caller has read a third of its socket's buffer, so
@@ -56,39 +49,23 @@
       NioReactor reactor,
       InetSocketAddress address,
       RequestHandler handler,
-      Supplier<ListenerLimits> limits) {
-    this(reactor, address, handler, limits, ListenerObserver.NONE);
+      Supplier<ListenerLimits> limits,
+      ListenerBudgets budgets) {
+    this(reactor, address, handler, limits, budgets, ListenerObserver.NONE);
   }
 
-  /** Creates a listener whose pipelined requests are observed. */
+  /** Creates a listener that is observed. */
   public HttpListener(
       NioReactor reactor,
       InetSocketAddress address,
       RequestHandler handler,
       Supplier<ListenerLimits> limits,
+      ListenerBudgets budgets,
       ListenerObserver observer) {
-    this(
-        reactor,
-        address,
-        handler,
-        limits,
-        observer,
-        RequestMemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()),
-        new ResponseBufferBudget(heapBytes(RESPONSE_HEAP_FRACTION)));
-  }
-
-  HttpListener(
-      NioReactor reactor,
-      InetSocketAddress address,
-      RequestHandler handler,
-      Supplier<ListenerLimits> limits,
-      ListenerObserver observer,
-      RequestMemoryBudget requestBudget,
-      ResponseBufferBudget responseBudget) {
     this.reactor = reactor;
     this.observer = observer;
-    this.requestBudget = requestBudget;
-    this.responseBudget = responseBudget;
+    this.requestBudget = budgets.requests();
+    this.responseBudget = budgets.responses();
     this.address = address;
     this.handler = handler;
     this.limits = limits;
@@ -180,10 +157,6 @@
     return System.nanoTime() / 1_000_000;
   }
 
-  private static long heapBytes(double fraction) {
-    return (long) (fraction * Runtime.getRuntime().maxMemory());
-  }
-
   void remove(ServerConnection connection) {
     connections.remove(connection);
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestMemoryBudget.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/RequestMemoryBudget.java
@@ -14,12 +14,6 @@
 
   private static final double LARGE_FRACTION = 0.75;
 
-  /**
-   * Share of the heap. A body is held once: it is received into the array that the request keeps
-   * and that is sent to servers. While that array grows, a second one of half the size is needed.
-   */
-  private static final double HEAP_FRACTION = 0.24;
-
   private final long limitBytes;
   private long usedBytes;
 
@@ -28,11 +22,6 @@
     this.limitBytes = limitBytes;
   }
 
-  /** Creates the budget of a process with a heap of this many bytes. */
-  static RequestMemoryBudget ofHeap(long heapBytes) {
-    return new RequestMemoryBudget((long) (HEAP_FRACTION * heapBytes));
-  }
-
   /**
    * Reserves memory for a connection.
    *
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/RowExchangeTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/RowExchangeTest.java
@@ -51,7 +51,7 @@
                 new RowExchange(
                     loop,
                     new SharedTableReplica(),
-                    new ConnectionPool(loop, 1024, 1024),
+                    new ConnectionPool(loop, 1024, 1024, 1024 * 1024),
                     List::of,
                     rows -> fetched.countDown());
             exchange.fetch(address(silent));
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/ConnectionPoolTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/ConnectionPoolTest.java
@@ -22,6 +22,8 @@
 
   private static final int ANSWER_BYTES = 300_000;
   private static final int CALLS = 10;
+  private static final long HEAP_BYTES = 96L * 1024 * 1024;
+  private static final long MAX_BUFFERED_BYTES = HEAP_BYTES / 4;
   private static final HttpMessage REQUEST =
       HttpMessage.of("GET / HTTP/1.1", List.of(new HttpField("Host", "h")));
 
@@ -38,12 +40,17 @@
     thread.setDaemon(true);
     thread.start();
     HttpListener server =
-        new HttpListener(loop, address, this::handle, () -> ListenerLimits.INTERNAL);
+        new HttpListener(
+            loop,
+            address,
+            this::handle,
+            () -> ListenerLimits.INTERNAL,
+            ListenerBudgets.ofCallers(HEAP_BYTES));
     pool =
         onLoop(
             () -> {
               server.listen();
-              return new ConnectionPool(loop, 16 * 1024, 1024 * 1024);
+              return new ConnectionPool(loop, 16 * 1024, 1024 * 1024, MAX_BUFFERED_BYTES);
             });
   }
 
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
@@ -73,6 +73,7 @@
             address,
             this::handle,
             () -> ListenerLimits.INTERNAL,
+            new ListenerBudgets(budget, new ResponseBufferBudget(BUDGET_BYTES)),
             new ListenerObserver() {
               @Override
               public void refusedForMemory(HttpMessage head) {
@@ -83,9 +84,7 @@
               public void stalledCallerClosed(long unsentBytes, long stalledMillis) {
                 stalledClosed.incrementAndGet();
               }
-            },
-            budget,
-            new ResponseBufferBudget(BUDGET_BYTES));
+            });
     CountDownLatch listening = new CountDownLatch(1);
     loop.execute(
         () -> {
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/PipeliningTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/PipeliningTest.java
@@ -89,7 +89,12 @@
     thread.start();
     listener =
         new HttpListener(
-            loop, address, this::handle, () -> limits, new Recorder(), bodyBudget, heldBudget);
+            loop,
+            address,
+            this::handle,
+            () -> limits,
+            new ListenerBudgets(bodyBudget, heldBudget),
+            new Recorder());
     onLoop(
         () -> {
           listener.listen();
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/RequestMemoryBudgetTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/RequestMemoryBudgetTest.java
@@ -26,7 +26,7 @@
   // slot.
   @Test
   void burstOfUploadsFitsIntoTheHeapOfAnEntryVm() {
-    RequestMemoryBudget ofEntryVm = RequestMemoryBudget.ofHeap(96L * 1024 * 1024);
+    RequestMemoryBudget ofEntryVm = ListenerBudgets.ofCallers(96L * 1024 * 1024).requests();
 
     for (int i = 0; i < 45; i++) {
       assertTrue(ofEntryVm.tryReserve(0, 360_000), "upload " + i);
