Release the memory of a closed connection's responses once

Cause: a write that failed at once closed the connection, and the count of its responses was updated once more after that, so that it would have stayed. Found by reading.

Change: a closed connection counts nothing.

Test: memoryOfResetConnectionsIsReleasedOnce resets 20 connections while answers are written; counts are 0 afterwards. It was not run without the change.

--- a/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/protocol/message/MessageReader.java
@@ -106,12 +106,7 @@
 
   /** Appends bytes to the body that is being read; returns how many of them belong to it. */
   private int appendToBody(byte[] bytes, int offset, int length) {
-    int bodyBytes =
-        switch (state) {
-          case LENGTH_BODY, CHUNK_DATA -> (int) Math.min(length, remainingBytes);
-          case UNTIL_CLOSE -> length;
-          default -> 0;
-        };
+    int bodyBytes = (int) Math.min(length, bodyBytesToRead());
     if (!discardingBody && bodyBytes > 0) {
       body.append(bytes, offset, bodyBytes);
     }
@@ -121,6 +116,15 @@
     return bodyBytes;
   }
 
+  /** Returns how many of the next bytes belong to the body. */
+  private long bodyBytesToRead() {
+    return switch (state) {
+      case LENGTH_BODY, CHUNK_DATA -> remainingBytes;
+      case UNTIL_CLOSE -> Long.MAX_VALUE;
+      default -> 0;
+    };
+  }
+
   private void moveBufferedBytesToBody() {
     start += appendToBody(buffer, start, end - start);
   }
@@ -140,8 +144,7 @@
    * complete, as far as its size is known.
    */
   public long requiredBytes() {
-    long missingBytes =
-        state == State.LENGTH_BODY || state == State.CHUNK_DATA ? remainingBytes : 0;
+    long missingBytes = state == State.UNTIL_CLOSE ? 0 : bodyBytesToRead();
     return body == null
         ? allocatedBytes()
         : Math.max(allocatedBytes(), buffer.length + headMemoryBytes + body.size() + missingBytes);
--- a/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/transport/relay/ServerConnection.java
@@ -122,6 +122,7 @@
       listener.remove(this);
       reader.release();
       listener.responseBudget().update(unsentBytes, 0);
+      unsentBytes = 0;
       socket.close();
       queue.removeAll().forEach(PendingResponse::abandon);
     }
@@ -204,7 +205,7 @@
     if (closed || queue.isClosed()) {
       return false;
     }
-    boolean isNew = !reader.hasNext();
+    final boolean isNew = !reader.hasNext();
     Optional<HttpMessage> next;
     try {
       next = reader.peek();
@@ -254,8 +255,10 @@
       writer.start(encode(ready));
     }
     writer.writePart(listener.nowMillis(), this::onPartWritten);
-    updateUnsentBytes();
-    return true;
+    if (!closed) {
+      updateUnsentBytes();
+    }
+    return !closed;
   }
 
   private List<EncodedMessage> encode(List<PendingResponse> responses) {
--- a/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/transport/relay/HttpListenerTest.java
@@ -257,6 +257,29 @@
     for (Socket socket : stalled) {
       socket.close();
     }
+    await(() -> onLoop(listener::unsentResponseBytes) == 0);
+  }
+
+  // Guards against memory that stays counted, or is released twice, when callers reset their
+  // connections while answers are written.
+  @Test
+  void memoryOfResetConnectionsIsReleasedOnce() throws Exception {
+    answerBytes = LARGE_ANSWER_BYTES;
+    for (int i = 0; i < 20; i++) {
+      Socket socket = connect();
+      write(socket, "Content-Length: 100000", bytes(100_000));
+      if (i % 2 == 0) {
+        socket.getInputStream().read(new byte[100]);
+      }
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
+    await(() -> onLoop(listener::unsentResponseBytes) == 0 && onLoop(budget::usedBytes) == 0);
+    Thread.sleep(700);
+    assertEquals(0, onLoop(listener::unsentResponseBytes));
+    assertEquals(0, onLoop(budget::usedBytes));
+    assertEquals(new ConnectionMemory(0, 0), onLoop(listener::memory));
   }
 
   // Guards against a caller that uses up the memory by sending on behind an unanswered request.
