--- a/scenarios/src/test/resources/org/toucanrack/scenarios/operators.feature
+++ b/scenarios/src/test/resources/org/toucanrack/scenarios/operators.feature
@@ -7,6 +7,7 @@
     And keyed reads are refused with the verdict not-run
     And keyed reads are served again within 15 seconds
 
+  @known-red
   Scenario: A failure domain that is cut off serves open routes and applies the key withdrawal after the partition heals
     Given a deployment in which each customer may send 200 requests per second
     When failure domain "beta-a" is cut off
