--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.toucanrack.id.VmId;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
 
@@ -173,6 +174,31 @@
     return entry != null && isAlive(entry, nowNanos);
   }
 
+  /**
+   * What this VM has heard of a group of members.
+   *
+   * @param heard number of members that sent a heartbeat
+   * @param alive number of those that are alive
+   * @param silentNanos time since the latest heartbeat; -1 if there was none
+   */
+  public record Contact(int heard, int alive, long silentNanos) {}
+
+  /** Returns what this VM has heard of the members in the selected failure domains. */
+  public Contact contact(Predicate<String> failureDomain, long nowNanos) {
+    int heard = 0;
+    int alive = 0;
+    long silentNanos = -1;
+    for (Entry entry : entries.values()) {
+      if (entry.latest != null && failureDomain.test(entry.latest.getFailureDomain())) {
+        heard++;
+        alive += isAlive(entry, nowNanos) ? 1 : 0;
+        long silence = nowNanos - entry.lastHeartbeatNanos;
+        silentNanos = silentNanos < 0 ? silence : Math.min(silentNanos, silence);
+      }
+    }
+    return new Contact(heard, alive, silentNanos);
+  }
+
   private static boolean isAlive(Entry entry, long nowNanos) {
     return entry.heartbeatReceived
         && nowNanos - entry.lastHeartbeatNanos <= aliveTimeoutNanos(entry.latest);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
@@ -77,6 +77,7 @@
   private final RowCatchUp catchUp;
   private final ReportWriter reports;
   private final PeerView peerView;
+  private final LookupReporter lookupReporter;
   private final StoreTables tables;
   private final PeerUpdates peerUpdates;
   private final RetainedServers retainedServers;
@@ -127,6 +128,7 @@
     this.reports =
         new ReportWriter(settings.vm(), store, platform.rowCodec(), replica, members, log);
     this.peerView = new PeerView(settings, members, log);
+    this.lookupReporter = new LookupReporter(settings, members, log, metrics, now());
     this.tokenLenders = new TokenLenders(settings, members, new SplittableRandom());
     this.listing = new MemberListing(reactor, settings.vm(), store, replica, members, log);
     this.retainedServers = new RetainedServers(settings.bounds().settlingTime(), log);
@@ -341,9 +343,12 @@
     rollouts.updateOwnEvidence(evidence);
   }
 
-  /** Returns the addresses of the VMs that a caller from this failure domain is sent to. */
-  List<InetSocketAddress> vmsFor(Optional<FailureDomainId> caller) {
-    return peerView.servingVms(caller, now());
+  /** Returns the VMs that a caller from this failure domain is sent to. */
+  LookupAnswer vmsFor(Optional<FailureDomainId> caller) {
+    long now = now();
+    LookupAnswer answer = peerView.servingVms(caller, now);
+    lookupReporter.record(caller, answer, isReady(), leaving, now);
+    return answer;
   }
 
   /** Reacts to changes of the store's tables, availability and epoch. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryMetrics.java
@@ -137,6 +137,12 @@
           .help(
               "Connections closed since their callers accepted no responses and memory was short.")
           .register(registry);
+  private final Counter lookups =
+      Counter.builder()
+          .name("toucanrack_lookups_total")
+          .help("Look-ups by where the named VMs run, as seen from the caller.")
+          .labelNames("scope")
+          .register(registry);
   private final TrafficBytes trafficBytes = new TrafficBytes();
 
   EntryMetrics() {
@@ -162,6 +168,10 @@
     unsentResponses.set(bytes);
   }
 
+  void countLookup(LookupAnswer.Scope scope) {
+    lookups.labelValues(scope.label()).inc();
+  }
+
   void countStalledCaller() {
     stalledCallers.inc();
   }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryNode.java
@@ -3,7 +3,6 @@
 import io.activej.eventloop.Eventloop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -283,11 +282,11 @@
       exchange.respond(Responses.text(NOT_FOUND, "unknown path"));
       return;
     }
-    List<InetSocketAddress> vms = controller.vmsFor(query.get().failureDomain());
+    LookupAnswer answer = controller.vmsFor(query.get().failureDomain());
     exchange.respond(
-        vms.isEmpty()
+        answer.vms().isEmpty()
             ? Responses.text(UNAVAILABLE, "no VM is ready")
-            : lookupFormat.response(vms, controller.lookupTtl()));
+            : lookupFormat.response(answer.vms(), controller.lookupTtl()));
   }
 
   private void answerMetrics(HttpMessage request, RequestHandler.Exchange exchange) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -183,7 +183,7 @@
    * Returns the addresses for callers of the VMs that serve the region of a failure domain, or of
    * all serving VMs if there are none.
    */
-  List<InetSocketAddress> servingVms(Optional<FailureDomainId> caller, long nowNanos) {
+  LookupAnswer servingVms(Optional<FailureDomainId> caller, long nowNanos) {
     RegionId region = caller.map(settings.regions()::get).orElse(settings.region());
     List<InetSocketAddress> inRegion = new ArrayList<>();
     List<InetSocketAddress> all = new ArrayList<>();
@@ -211,7 +211,11 @@
         inRegion.add(settings.endpoints().callers());
       }
     }
-    return inRegion.isEmpty() ? all : inRegion;
+    if (!inRegion.isEmpty()) {
+      return new LookupAnswer(inRegion, LookupAnswer.Scope.CALLERS_REGION);
+    }
+    return new LookupAnswer(
+        all, all.isEmpty() ? LookupAnswer.Scope.NONE : LookupAnswer.Scope.OTHER_REGIONS);
   }
 
   /**
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/PeerViewTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/PeerViewTest.java
@@ -5,36 +5,31 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.toucanrack.id.FailureDomainId;
-import org.toucanrack.id.RegionId;
 import org.toucanrack.id.VmId;
 import org.toucanrack.internal.coordination.steer.MemberTable;
 import org.toucanrack.internal.observe.DecisionLog;
 import org.toucanrack.internal.protocol.generated.EntryHeartbeat;
-import org.toucanrack.steering.EntrySettings;
 
 class PeerViewTest {
 
-  private static final InetSocketAddress ADDRESS =
-      new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-  private static final FailureDomainId NEAR = new FailureDomainId("near-a");
-  private static final FailureDomainId FAR = new FailureDomainId("far-a");
-  private static final VmId SELF = new VmId("vm-5");
+  private static final InetSocketAddress ADDRESS = EntrySettingsFixture.ADDRESS;
+  private static final FailureDomainId FAR = EntrySettingsFixture.FAR;
+  private static final VmId SELF = EntrySettingsFixture.VM;
 
   /** Longer than a heartbeat of a VM on standby in another region counts. */
   private static final long SILENT_NANOS = TimeUnit.SECONDS.toNanos(13);
 
   private final MemberTable members = new MemberTable(SELF, Duration.ofSeconds(3));
   private final PeerView view =
-      new PeerView(settings(), members, new DecisionLog("vm-5", OutputStream.nullOutputStream()));
+      new PeerView(
+          EntrySettingsFixture.settings(),
+          members,
+          new DecisionLog("vm-5", OutputStream.nullOutputStream()));
 
   // Guards against no VM, or nearly all VMs, that look for lost answers of the store.
   @Test
@@ -99,27 +94,4 @@
         ADDRESS,
         nowNanos);
   }
-
-  private static EntrySettings settings() {
-    return new EntrySettings(
-        SELF,
-        NEAR,
-        Map.of(NEAR, new RegionId("near"), FAR, new RegionId("far")),
-        new EntrySettings.Endpoints(
-            ADDRESS, ADDRESS, ADDRESS, ADDRESS, Optional.empty(), List.of()),
-        new EntrySettings.Bounds(
-            Duration.ofSeconds(6),
-            Duration.ofSeconds(5),
-            0.2,
-            60,
-            Duration.ofSeconds(10),
-            1.5,
-            5,
-            0.15,
-            Duration.ofSeconds(5),
-            20,
-            0.1,
-            Duration.ofSeconds(3)),
-        100);
-  }
 }
