Decide the regions of a request when it is sent

HomeRegionChangeTest, with a real VM, failed before: two servers of the old home were reached, now one. The second test of the class shows that the retry happens when the regions stay.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttempt.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttempt.java
@@ -82,7 +82,7 @@
               "region",
               server.region(),
               "homes",
-              request.homeRegions(),
+              handler.allowedRegions(request).regions(),
               "knows_object",
               choice.affinityHit(),
               "load",
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttributes.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttributes.java
@@ -1,10 +1,8 @@
 package org.toucanrack.internal.serve.entry;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
-import org.toucanrack.id.RegionId;
+import org.toucanrack.internal.coordination.steer.HomeRegions;
 import org.toucanrack.internal.coordination.steer.RuleIndex;
 import org.toucanrack.internal.protocol.message.HttpMessage;
 import org.toucanrack.steering.CustomerRule;
@@ -19,9 +17,6 @@
 
   private static final String BEARER = "Bearer ";
 
-  /** Matches no region; used if the home regions of route and customer have none in common. */
-  private static final RegionId NO_REGION = new RegionId("none.of.both");
-
   private final HeaderNames names;
 
   RequestAttributes(HeaderNames names) {
@@ -37,20 +32,14 @@
   }
 
   /**
-   * Returns the regions that both the route and the customer allow. An empty set means all regions,
-   * so {@link #NO_REGION} is returned if they have none in common.
+   * Returns the regions that may run a request by other rules than those of its arrival. The key
+   * may belong to another customer by then; a withdrawn one still counts for its last customer.
    */
-  static Set<RegionId> homeRegions(RouteRule route, Optional<CustomerRule> customer) {
-    Set<RegionId> customerRegions = customer.map(CustomerRule::homeRegions).orElse(Set.of());
-    if (route.homeRegions().isEmpty()) {
-      return customerRegions;
-    }
-    if (customerRegions.isEmpty()) {
-      return route.homeRegions();
-    }
-    Set<RegionId> commonRegions = new HashSet<>(route.homeRegions());
-    commonRegions.retainAll(customerRegions);
-    return commonRegions.isEmpty() ? Set.of(NO_REGION) : commonRegions;
+  HomeRegions homeRegions(AdmittedRequest request, RuleIndex rules) {
+    HttpMessage message = request.message();
+    RouteRule route =
+        rules.route(message.field("Host").orElse(""), message.target()).orElse(request.route());
+    return HomeRegions.of(route, customer(message, rules).or(request::customer));
   }
 
   /** Returns the id in the object cookie. Requests without one are spread by their request ids. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ServerSelection.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/ServerSelection.java
@@ -38,7 +38,7 @@
                 request.service(),
                 request.serviceRule(),
                 request.objectId(),
-                request.homeRegions(),
+                handler.allowedRegions(request).regions(),
                 triedServers,
                 request.route().latencyObjective().toNanos(),
                 request.deadlineNanos() - now,
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
@@ -11,6 +11,7 @@
 import org.toucanrack.id.ServiceId;
 import org.toucanrack.internal.coordination.duty.UsageCounter;
 import org.toucanrack.internal.coordination.steer.FleetSnapshot;
+import org.toucanrack.internal.coordination.steer.HomeRegions;
 import org.toucanrack.internal.coordination.steer.RateShares;
 import org.toucanrack.internal.coordination.steer.RuleIndex;
 import org.toucanrack.internal.coordination.steer.ServerChooser;
@@ -326,12 +327,13 @@
             this,
             exchange,
             new AdmittedRequest(
+                rules,
                 request,
                 requestId,
                 route,
                 customer,
                 rule,
-                RequestAttributes.homeRegions(route, customer),
+                HomeRegions.of(route, customer),
                 attributes.objectId(request).orElse(requestId),
                 now,
                 now + attributes.timeout(request, route).toNanos()))
@@ -351,6 +353,18 @@
     exchange.respond(LocalResponses.statusOnly(status));
   }
 
+  /**
+   * Returns the regions that may run a request now. Rules may have changed since its arrival, while
+   * it waited or another attempt ran; then only regions that both allow are left.
+   */
+  HomeRegions allowedRegions(AdmittedRequest request) {
+    return state
+        .rules()
+        .filter(current -> current != request.rules())
+        .map(current -> request.homeRegions().and(attributes.homeRegions(request, current)))
+        .orElse(request.homeRegions());
+  }
+
   void updateServerLoad(ServerState server, HttpMessage answer, long now) {
     serverLoads.record(server, answer, now);
   }
