Name VMs of other regions only after those of the region have failed

A look-up named the serving VMs of all regions whenever it saw none of the caller's. That was so on a VM that had just started and had heard one of its settings' VMs in another region, and on a VM that was short of processor time: heartbeats of its own region count for 2.3 s, those of other regions up to 5.75 s. Callers, also those of routes with home regions, then stayed with distant VMs for one to three times the time to live of 2 s.

Such a VM now names itself if the caller is of its region and it is ready. Otherwise VMs of other regions are named once the region's own were silent for 2.3 s longer than others, and no VM before that: callers ask the next VM at once.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.toucanrack.id.VmId;
@@ -24,7 +25,7 @@
 public final class MemberTable {
 
   /** Two missed heartbeats, plus a margin for late timers. */
-  static final double ALIVE_TIMEOUT_INTERVALS = 2.3;
+  public static final double ALIVE_TIMEOUT_INTERVALS = 2.3;
 
   private static final long DEFAULT_HEARTBEAT_INTERVAL_MS = 1000;
 
@@ -179,21 +180,21 @@
    *
    * @param heard number of members that sent a heartbeat
    * @param alive number of those that are alive
-   * @param silentNanos time since the latest heartbeat; -1 if there was none
+   * @param silentNanos time since the latest heartbeat; empty if there was none
    */
-  public record Contact(int heard, int alive, long silentNanos) {}
+  public record Contact(int heard, int alive, OptionalLong silentNanos) {}
 
-  /** Returns what this VM has heard of the members in the selected failure domains. */
-  public Contact contact(Predicate<String> failureDomain, long nowNanos) {
+  /** Returns what this VM has heard of the members whose latest heartbeats are selected. */
+  public Contact contact(Predicate<EntryHeartbeat> selected, long nowNanos) {
     int heard = 0;
     int alive = 0;
-    long silentNanos = -1;
+    OptionalLong silentNanos = OptionalLong.empty();
     for (Entry entry : entries.values()) {
-      if (entry.latest != null && failureDomain.test(entry.latest.getFailureDomain())) {
+      if (entry.latest != null && selected.test(entry.latest)) {
         heard++;
         alive += isAlive(entry, nowNanos) ? 1 : 0;
         long silence = nowNanos - entry.lastHeartbeatNanos;
-        silentNanos = silentNanos < 0 ? silence : Math.min(silentNanos, silence);
+        silentNanos = OptionalLong.of(Math.min(silence, silentNanos.orElse(silence)));
       }
     }
     return new Contact(heard, alive, silentNanos);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
@@ -127,7 +127,7 @@
             settings.bounds().rolloutShare(), platform.rowCodec(), store::time, log);
     this.reports =
         new ReportWriter(settings.vm(), store, platform.rowCodec(), replica, members, log);
-    this.peerView = new PeerView(settings, members, log);
+    this.peerView = new PeerView(settings, members, log, now());
     this.lookupReporter = new LookupReporter(settings, members, log, metrics, now());
     this.tokenLenders = new TokenLenders(settings, members, new SplittableRandom());
     this.listing = new MemberListing(reactor, settings.vm(), store, replica, members, log);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupAnswer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupAnswer.java
@@ -28,6 +28,9 @@
     }
   }
 
+  /** Names no VM; callers try another one. */
+  static final LookupAnswer NO_VM = new LookupAnswer(List.of(), Scope.NONE);
+
   /** Copies the list. */
   LookupAnswer {
     vms = List.copyOf(vms);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupReporter.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupReporter.java
@@ -68,7 +68,10 @@
     }
     MemberTable.Contact contact =
         members.contact(
-            member -> region.equals(settings.regions().get(new FailureDomainId(member))), nowNanos);
+            member ->
+                region.equals(
+                    settings.regions().get(new FailureDomainId(member.getFailureDomain()))),
+            nowNanos);
     log.event(
         "lookup-outside-region",
         "caller",
@@ -84,7 +87,9 @@
         "alive",
         contact.alive(),
         "silent_ms",
-        TimeUnit.NANOSECONDS.toMillis(contact.silentNanos()),
+        contact.silentNanos().isEmpty()
+            ? -1
+            : TimeUnit.NANOSECONDS.toMillis(contact.silentNanos().getAsLong()),
         "members",
         members.size(),
         "ready",
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.toucanrack.id.CustomerId;
 import org.toucanrack.id.FailureDomainId;
 import org.toucanrack.id.RegionId;
@@ -30,19 +31,28 @@
  */
 final class PeerView {
 
+  /**
+   * Silence after which the VMs of a region have failed: as long as one missing heartbeat after
+   * another makes a serving VM count as failed.
+   */
+  private static final long REGION_FAILURE_NANOS =
+      (long) (MemberTable.ALIVE_TIMEOUT_INTERVALS * TimeUnit.SECONDS.toNanos(1));
+
   private final EntrySettings settings;
   private final MemberTable members;
   private final DecisionLog log;
+  private final long startedNanos;
   private final Map<RegionId, Set<VmId>> serving = new HashMap<>();
   private Set<VmId> aliveBefore = new HashSet<>();
   private boolean selfReady;
   private double ownRequestsPerSecond;
   private DemandShares demandShares;
 
-  PeerView(EntrySettings settings, MemberTable members, DecisionLog log) {
+  PeerView(EntrySettings settings, MemberTable members, DecisionLog log, long startedNanos) {
     this.settings = settings;
     this.members = members;
     this.log = log;
+    this.startedNanos = startedNanos;
     this.demandShares = demandShares(Map.of(), Map.of());
   }
 
@@ -180,42 +190,60 @@
   }
 
   /**
-   * Returns the addresses for callers of the VMs that serve the region of a failure domain, or of
-   * all serving VMs if there are none.
+   * Returns the VMs that callers in a failure domain are sent to: those that serve its region, or
+   * those of all regions if its VMs have failed. While that is not certain, no VM is named, so that
+   * callers ask another VM: requests with home regions may not leave theirs.
    */
   LookupAnswer servingVms(Optional<FailureDomainId> caller, long nowNanos) {
     RegionId region = caller.map(settings.regions()::get).orElse(settings.region());
     List<InetSocketAddress> inRegion = new ArrayList<>();
     List<InetSocketAddress> all = new ArrayList<>();
     for (EntryHeartbeat member : members.aliveMembers(nowNanos)) {
-      RegionId memberRegion = regionOf(member);
-      // Heartbeats of other domains' VMs on standby are rare, so for other domains the serving
-      // state
-      // in their heartbeats is newer than the set computed here.
-      boolean isServing =
-          member.getReady()
-              && (isInOwnDomain(member)
-                  ? serving.getOrDefault(memberRegion, Set.of()).contains(new VmId(member.getVm()))
-                  : member.getServing());
-      if (isServing) {
+      if (isServing(member)) {
         InetSocketAddress address = PeerAddresses.parse(member.getCallersAddress());
         all.add(address);
-        if (region.equals(memberRegion)) {
+        if (region.equals(regionOf(member))) {
           inRegion.add(address);
         }
       }
     }
-    if (selfReady && selfServing()) {
+    if (selfReady && region.equals(settings.region()) && (inRegion.isEmpty() || selfServing())) {
+      // A VM on standby that hears no serving VM of its region serves from its next tick on.
+      inRegion.add(settings.endpoints().callers());
+    } else if (selfReady && selfServing()) {
       all.add(settings.endpoints().callers());
-      if (region.equals(settings.region())) {
-        inRegion.add(settings.endpoints().callers());
-      }
     }
     if (!inRegion.isEmpty()) {
       return new LookupAnswer(inRegion, LookupAnswer.Scope.CALLERS_REGION);
     }
-    return new LookupAnswer(
-        all, all.isEmpty() ? LookupAnswer.Scope.NONE : LookupAnswer.Scope.OTHER_REGIONS);
+    return all.isEmpty() || !hasFailed(region, nowNanos)
+        ? LookupAnswer.NO_VM
+        : new LookupAnswer(all, LookupAnswer.Scope.OTHER_REGIONS);
+  }
+
+  private boolean isServing(EntryHeartbeat member) {
+    // Heartbeats of other domains' VMs on standby are rare, so for other domains the serving state
+    // in their heartbeats is newer than the set computed here.
+    return member.getReady()
+        && (isInOwnDomain(member)
+            ? serving.getOrDefault(regionOf(member), Set.of()).contains(new VmId(member.getVm()))
+            : member.getServing());
+  }
+
+  /**
+   * Returns whether the VMs that served a region have been silent for long while others were heard.
+   * Without heartbeats from others, this VM may be the one that receives nothing; soon after its
+   * start, the first heartbeats may still be under way.
+   */
+  private boolean hasFailed(RegionId region, long nowNanos) {
+    MemberTable.Contact served =
+        members.contact(member -> region.equals(regionOf(member)) && member.getServing(), nowNanos);
+    MemberTable.Contact others =
+        members.contact(member -> !region.equals(regionOf(member)), nowNanos);
+    long regionSilentNanos =
+        Math.min(served.silentNanos().orElse(Long.MAX_VALUE), nowNanos - startedNanos);
+    return others.silentNanos().isPresent()
+        && regionSilentNanos - others.silentNanos().getAsLong() >= REGION_FAILURE_NANOS;
   }
 
   /**
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/PeerViewTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/PeerViewTest.java
@@ -29,7 +29,8 @@
       new PeerView(
           EntrySettingsFixture.settings(),
           members,
-          new DecisionLog("vm-5", OutputStream.nullOutputStream()));
+          new DecisionLog("vm-5", OutputStream.nullOutputStream()),
+          0);
 
   // Guards against no VM, or nearly all VMs, that look for lost answers of the store.
   @Test
