Name VMs on standby before those of other regions, also in planned stops

Now the time since any VM served the region counts, VMs on standby are named while none serves, and after 5.75 s of silence a region counts as failed also if no other VM is heard. A request whose key has moved to another customer is not sent again: the server would be told the customer of its arrival.

HomeRegionChangeTest passes; its case of the moved key was not run without the change.

--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -49,6 +49,7 @@
     private long listedNanos;
     private long leavingSinceNanos;
     private boolean servedBeforeLeaving;
+    private OptionalLong servedNanos = OptionalLong.empty();
   }
 
   /**
@@ -118,6 +119,9 @@
     boolean newlyAlive = !sameRun || !isAlive(entry, nowNanos);
     entry.lastHeartbeatNanos = nowNanos;
     entry.heartbeatReceived = true;
+    if (heartbeat.getServing()) {
+      entry.servedNanos = OptionalLong.of(nowNanos);
+    }
     return newlyAlive;
   }
 
@@ -181,23 +185,32 @@
    * @param heard number of members that sent a heartbeat
    * @param alive number of those that are alive
    * @param silentNanos time since the latest heartbeat; empty if there was none
+   * @param servedNanos time since the latest heartbeat of a member that served then, although it
+   *     may be leaving or have been restarted since; empty if there was none
    */
-  public record Contact(int heard, int alive, OptionalLong silentNanos) {}
+  public record Contact(int heard, int alive, OptionalLong silentNanos, OptionalLong servedNanos) {}
 
   /** Returns what this VM has heard of the members whose latest heartbeats are selected. */
   public Contact contact(Predicate<EntryHeartbeat> selected, long nowNanos) {
     int heard = 0;
     int alive = 0;
     OptionalLong silentNanos = OptionalLong.empty();
+    OptionalLong servedNanos = OptionalLong.empty();
     for (Entry entry : entries.values()) {
       if (entry.latest != null && selected.test(entry.latest)) {
         heard++;
         alive += isAlive(entry, nowNanos) ? 1 : 0;
-        long silence = nowNanos - entry.lastHeartbeatNanos;
-        silentNanos = OptionalLong.of(Math.min(silence, silentNanos.orElse(silence)));
+        silentNanos = shorter(silentNanos, nowNanos - entry.lastHeartbeatNanos);
+        if (entry.servedNanos.isPresent()) {
+          servedNanos = shorter(servedNanos, nowNanos - entry.servedNanos.getAsLong());
+        }
       }
     }
-    return new Contact(heard, alive, silentNanos);
+    return new Contact(heard, alive, silentNanos, servedNanos);
+  }
+
+  private static OptionalLong shorter(OptionalLong nanos, long other) {
+    return OptionalLong.of(Math.min(other, nanos.orElse(other)));
   }
 
   private static boolean isAlive(Entry entry, long nowNanos) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.toucanrack.id.CustomerId;
@@ -31,13 +32,16 @@
  */
 final class PeerView {
 
-  /**
-   * Silence after which the VMs of a region have failed: as long as one missing heartbeat after
-   * another makes a serving VM count as failed.
-   */
+  /** A region has failed if its VMs were silent for this much longer than others. */
   private static final long REGION_FAILURE_NANOS =
       (long) (MemberTable.ALIVE_TIMEOUT_INTERVALS * TimeUnit.SECONDS.toNanos(1));
 
+  /** A region has failed after this silence, also if no other VM is left to compare with. */
+  private static final long MAX_REGION_SILENCE_NANOS =
+      (long)
+          (MemberTable.ALIVE_TIMEOUT_INTERVALS
+              * TimeUnit.MILLISECONDS.toNanos(HeartbeatSchedule.STANDBY_INTERVAL_MS));
+
   private final EntrySettings settings;
   private final MemberTable members;
   private final DecisionLog log;
@@ -190,60 +194,62 @@
   }
 
   /**
-   * Returns the VMs that callers in a failure domain are sent to: those that serve its region, or
-   * those of all regions if its VMs have failed. While that is not certain, no VM is named, so that
-   * callers ask another VM: requests with home regions may not leave theirs.
+   * Returns the VMs that callers in a failure domain are sent to: those that serve its region;
+   * while there are none, those on standby there, which are about to; if the region's VMs have
+   * failed, those that serve other regions. Until that is certain, no VM is named, so that callers
+   * ask another one: requests with home regions may not leave theirs.
    */
   LookupAnswer servingVms(Optional<FailureDomainId> caller, long nowNanos) {
     RegionId region = caller.map(settings.regions()::get).orElse(settings.region());
-    List<InetSocketAddress> inRegion = new ArrayList<>();
-    List<InetSocketAddress> all = new ArrayList<>();
+    List<InetSocketAddress> serveRegion = new ArrayList<>();
+    List<InetSocketAddress> onStandby = new ArrayList<>();
+    List<InetSocketAddress> elsewhere = new ArrayList<>();
     for (EntryHeartbeat member : members.aliveMembers(nowNanos)) {
-      if (isServing(member)) {
-        InetSocketAddress address = PeerAddresses.parse(member.getCallersAddress());
-        all.add(address);
-        if (region.equals(regionOf(member))) {
-          inRegion.add(address);
-        }
+      boolean inRegion = region.equals(regionOf(member));
+      if (member.getReady() && (inRegion || isServing(member))) {
+        List<InetSocketAddress> group =
+            !inRegion ? elsewhere : isServing(member) ? serveRegion : onStandby;
+        group.add(PeerAddresses.parse(member.getCallersAddress()));
       }
     }
-    if (selfReady && region.equals(settings.region()) && (inRegion.isEmpty() || selfServing())) {
-      // A VM on standby that hears no serving VM of its region serves from its next tick on.
-      inRegion.add(settings.endpoints().callers());
-    } else if (selfReady && selfServing()) {
-      all.add(settings.endpoints().callers());
+    boolean inOwnRegion = region.equals(settings.region());
+    if (selfReady && (inOwnRegion || selfServing())) {
+      List<InetSocketAddress> group =
+          !inOwnRegion ? elsewhere : selfServing() ? serveRegion : onStandby;
+      group.add(settings.endpoints().callers());
     }
-    if (!inRegion.isEmpty()) {
-      return new LookupAnswer(inRegion, LookupAnswer.Scope.CALLERS_REGION);
+    if (!serveRegion.isEmpty() || !onStandby.isEmpty()) {
+      return new LookupAnswer(
+          serveRegion.isEmpty() ? onStandby : serveRegion, LookupAnswer.Scope.CALLERS_REGION);
     }
-    return all.isEmpty() || !hasFailed(region, nowNanos)
+    return elsewhere.isEmpty() || !hasFailed(region, nowNanos)
         ? LookupAnswer.NO_VM
-        : new LookupAnswer(all, LookupAnswer.Scope.OTHER_REGIONS);
+        : new LookupAnswer(elsewhere, LookupAnswer.Scope.OTHER_REGIONS);
   }
 
   private boolean isServing(EntryHeartbeat member) {
     // Heartbeats of other domains' VMs on standby are rare, so for other domains the serving state
     // in their heartbeats is newer than the set computed here.
-    return member.getReady()
-        && (isInOwnDomain(member)
-            ? serving.getOrDefault(regionOf(member), Set.of()).contains(new VmId(member.getVm()))
-            : member.getServing());
+    return isInOwnDomain(member)
+        ? serving.getOrDefault(regionOf(member), Set.of()).contains(new VmId(member.getVm()))
+        : member.getServing();
   }
 
   /**
-   * Returns whether the VMs that served a region have been silent for long while others were heard.
-   * Without heartbeats from others, this VM may be the one that receives nothing; soon after its
-   * start, the first heartbeats may still be under way.
+   * Returns whether no VM has served a region for long, although others were heard. Without
+   * heartbeats from others, this VM may be the one that receives nothing; soon after its start, the
+   * first heartbeats may still be under way.
    */
   private boolean hasFailed(RegionId region, long nowNanos) {
-    MemberTable.Contact served =
-        members.contact(member -> region.equals(regionOf(member)) && member.getServing(), nowNanos);
-    MemberTable.Contact others =
-        members.contact(member -> !region.equals(regionOf(member)), nowNanos);
-    long regionSilentNanos =
-        Math.min(served.silentNanos().orElse(Long.MAX_VALUE), nowNanos - startedNanos);
-    return others.silentNanos().isPresent()
-        && regionSilentNanos - others.silentNanos().getAsLong() >= REGION_FAILURE_NANOS;
+    OptionalLong served =
+        members.contact(member -> region.equals(regionOf(member)), nowNanos).servedNanos();
+    long upNanos = nowNanos - startedNanos;
+    long unservedNanos = Math.min(upNanos, served.orElse(upNanos));
+    OptionalLong othersSilentNanos =
+        members.contact(member -> !region.equals(regionOf(member)), nowNanos).silentNanos();
+    return unservedNanos >= MAX_REGION_SILENCE_NANOS
+        || (othersSilentNanos.isPresent()
+            && unservedNanos - othersSilentNanos.getAsLong() >= REGION_FAILURE_NANOS);
   }
 
   /**
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttributes.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestAttributes.java
@@ -32,14 +32,24 @@
   }
 
   /**
-   * Returns the regions that may run a request by other rules than those of its arrival. The key
-   * may belong to another customer by then; a withdrawn one still counts for its last customer.
+   * Returns the regions that may run a request by other rules than those of its arrival. A
+   * withdrawn key still counts for its last customer.
    */
   HomeRegions homeRegions(AdmittedRequest request, RuleIndex rules) {
     HttpMessage message = request.message();
     RouteRule route =
         rules.route(message.field("Host").orElse(""), message.target()).orElse(request.route());
-    return HomeRegions.of(route, customer(message, rules).or(request::customer));
+    Optional<CustomerRule> lastCustomer =
+        request.customer().map(rule -> rules.customer(rule.id()).orElse(rule));
+    return HomeRegions.of(route, customer(message, rules).or(() -> lastCustomer));
+  }
+
+  /** Returns whether the key of a request belongs to another customer by other rules. */
+  boolean isOfOtherCustomer(AdmittedRequest request, RuleIndex rules) {
+    return customer(request.message(), rules)
+        .map(CustomerRule::id)
+        .filter(current -> !Optional.of(current).equals(request.customer().map(CustomerRule::id)))
+        .isPresent();
   }
 
   /** Returns the id in the object cookie. Requests without one are spread by their request ids. */
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/RequestRun.java
@@ -67,6 +67,11 @@
   }
 
   private void attempt() {
+    if (handler.isOfOtherCustomer(request)) {
+      // The server would be told the customer that no longer holds the key.
+      refuse("customer-changed");
+      return;
+    }
     long now = handler.now();
     ServerChooser.Choice choice = selection.choose(request, triedServers, now);
     if (choice instanceof ServerChooser.Choice.Use use) {
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/TrafficHandler.java
@@ -365,6 +365,15 @@
         .orElse(request.homeRegions());
   }
 
+  /** Returns whether the key of a request has moved to another customer since its arrival. */
+  boolean isOfOtherCustomer(AdmittedRequest request) {
+    return state
+        .rules()
+        .filter(current -> current != request.rules())
+        .filter(current -> attributes.isOfOtherCustomer(request, current))
+        .isPresent();
+  }
+
   void updateServerLoad(ServerState server, HttpMessage answer, long now) {
     serverLoads.record(server, answer, now);
   }
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/LookupRegionTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/LookupRegionTest.java
@@ -86,25 +86,70 @@
     assertEquals(LookupAnswer.Scope.OTHER_REGIONS, lookup(FAR, millis(2500)).scope());
   }
 
+  // Guards against callers that leave the region while its last serving VM stops as planned.
+  @Test
+  void callersStayInTheRegionWhileItsOnlyServingVmIsLeaving() {
+    hearServing("vm-6", FAR, SERVING_INTERVAL_MS, millis(9000));
+    hearServing("vm-7", NEAR, SERVING_INTERVAL_MS, millis(9900));
+    view.refresh(true, millis(9900));
+    hear(heartbeat("vm-6", FAR, SERVING_INTERVAL_MS).setLeaving(true), millis(10_000));
+    view.refresh(true, millis(10_000));
+
+    assertEquals(LookupAnswer.Scope.NONE, lookup(FAR, millis(10_001)).scope());
+
+    hearServing("vm-7", NEAR, SERVING_INTERVAL_MS, millis(11_400));
+    assertEquals(LookupAnswer.Scope.OTHER_REGIONS, lookup(FAR, millis(11_400)).scope());
+  }
+
+  // Guards against callers that leave the region between the failure of its serving VMs and the
+  // heartbeat of the one that replaces them.
+  @Test
+  void callersAreSentToVmsOnStandbyRatherThanToOtherRegions() {
+    hearServing("vm-7", NEAR, SERVING_INTERVAL_MS, millis(9900));
+    hear(heartbeat("vm-6", FAR, HeartbeatSchedule.STANDBY_INTERVAL_MS), millis(9900));
+    view.refresh(true, millis(9900));
+
+    LookupAnswer answer = lookup(FAR, millis(9950));
+
+    assertEquals(LookupAnswer.Scope.CALLERS_REGION, answer.scope());
+    assertEquals(1, answer.vms().size());
+  }
+
+  // Guards against a VM that is the only one left and names nobody to callers of other regions.
+  @Test
+  void theLastVmNamesItselfToCallersOfOtherRegions() {
+    hearServing("vm-6", FAR, SERVING_INTERVAL_MS, 0);
+    hearServing("vm-7", NEAR, SERVING_INTERVAL_MS, 0);
+    view.refresh(true, millis(6000));
+
+    LookupAnswer answer = lookup(FAR, millis(6000));
+
+    assertEquals(LookupAnswer.Scope.OTHER_REGIONS, answer.scope());
+    assertEquals(List.of(SELF_ADDRESS), answer.vms());
+  }
+
   private LookupAnswer lookup(FailureDomainId caller, long nowNanos) {
     return view.servingVms(Optional.of(caller), nowNanos);
   }
 
   private void hearServing(String vm, FailureDomainId domain, int intervalMillis, long nowNanos) {
-    members.recordHeartbeat(
-        EntryHeartbeat.newBuilder()
-            .setVm(vm)
-            .setIncarnation(1)
-            .setSequence(1 + nowNanos)
-            .setFailureDomain(domain.value())
-            .setCallersAddress("127.0.0.1:2")
-            .setReady(true)
-            .setServing(true)
-            .setRequestCapacity(1000)
-            .setIntervalMillis(intervalMillis)
-            .build(),
-        SELF_ADDRESS,
-        nowNanos);
+    hear(heartbeat(vm, domain, intervalMillis).setServing(true), nowNanos);
+  }
+
+  private void hear(EntryHeartbeat.Builder heartbeat, long nowNanos) {
+    members.recordHeartbeat(heartbeat.setSequence(1 + nowNanos).build(), SELF_ADDRESS, nowNanos);
+  }
+
+  private static EntryHeartbeat.Builder heartbeat(
+      String vm, FailureDomainId domain, int intervalMillis) {
+    return EntryHeartbeat.newBuilder()
+        .setVm(vm)
+        .setIncarnation(1)
+        .setFailureDomain(domain.value())
+        .setCallersAddress("127.0.0.1:2")
+        .setReady(true)
+        .setRequestCapacity(1000)
+        .setIntervalMillis(intervalMillis);
   }
 
   private static long millis(long millis) {
