Use changes in store answers that come after their call was restarted

A VM that is behind restarts its open call for changes with each heartbeat of a VM that is ahead, at most once a second, and dropped the answers to abandoned calls: while answers took longer than that, it stayed with its old rows for as long as others were ahead. Rows in such answers that are newer than the last ones read are now merged, within one epoch of the store.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/StoreFollower.java
@@ -2,6 +2,7 @@
 
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.toucanrack.internal.state.shared.SharedTableReplica;
@@ -14,8 +15,9 @@
 /**
  * Follows one table of the store: reads it once and then waits for changes with long polls.
  *
- * <p>Invariant: at most one call is current; answers to earlier ones, and answers of an earlier
- * epoch of the store than the known one, are ignored. Confined to the control thread.
+ * <p>Invariant: at most one call is current. Of late answers to earlier calls, the changes are
+ * merged, but only the current call tells how far this VM has read. Answers of an earlier epoch of
+ * the store than the known one are ignored. Confined to the control thread.
  */
 final class StoreFollower {
 
@@ -239,6 +241,7 @@
 
   private void changesReceived(long callGeneration, StoreAnswer<SharedStore.Rows> answer) {
     if (callGeneration != generation) {
+      mergeLateChanges(answer);
       return;
     }
     if (answer instanceof StoreAnswer.Done<SharedStore.Rows> done) {
@@ -267,6 +270,24 @@
     }
   }
 
+  /**
+   * Merges the changes in the answer to an abandoned call that no later answer has brought. If
+   * answers take longer than the interval of restarts, each call is abandoned before its answer.
+   */
+  private void mergeLateChanges(StoreAnswer<SharedStore.Rows> answer) {
+    if (answer instanceof StoreAnswer.Done<SharedStore.Rows> done
+        && knownRevision >= 0
+        && replica.isCurrent(table)
+        && done.value().epoch().equals(replica.epoch())) {
+      List<SharedRow> newRows =
+          done.value().rows().stream().filter(row -> row.revision() > knownRevision).toList();
+      if (!newRows.isEmpty()) {
+        newRows.forEach(row -> listener.merge(row, done.value().epoch()));
+        listener.storeAnswered(table);
+      }
+    }
+  }
+
   private static StoreAnswer<SharedStore.Rows> lateAnswer(SharedStore.Rows rows) {
     return new StoreAnswer.Unknown<>("late answer of the earlier epoch " + rows.epoch());
   }
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/StoreFollowerPollTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/StoreFollowerPollTest.java
@@ -130,6 +130,20 @@
     assertEquals(1, store.calls.size());
   }
 
+  // Guards against a VM that stays with old rows while others are ahead and the store needs longer
+  // for an answer than the interval at which calls are restarted.
+  @Test
+  void changesInAnswersSlowerThanTheRestartIntervalAreUsed() {
+    StoreFollower follower = follow(SharedTable.ORDERS);
+
+    inLoop(1100, () -> {});
+    inLoop(SHORT_MS, follower::restart);
+    inLoop(SHORT_MS, () -> store.calls.get(0).answer(5, row(5)));
+
+    assertEquals(2, store.calls.size());
+    assertEquals(List.of(5L), listener.merged);
+  }
+
   /** Follows a table up to its first call for changes. */
   private StoreFollower follow(SharedTable table) {
     StoreFollower follower =
