--- a/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/coordination/steer/MemberTable.java
@@ -116,7 +116,7 @@
             ? heartbeat.toBuilder().addAllClaims(entry.latest.getClaimsList()).build()
             : heartbeat;
     entry.peersAddress = peersAddress;
-    boolean newlyAlive = !sameRun || !isAlive(entry, nowNanos);
+    final boolean newlyAlive = !sameRun || !isAlive(entry, nowNanos);
     entry.lastHeartbeatNanos = nowNanos;
     entry.heartbeatReceived = true;
     if (heartbeat.getServing()) {
@@ -179,6 +179,11 @@
     return entry != null && isAlive(entry, nowNanos);
   }
 
+  private static boolean isAlive(Entry entry, long nowNanos) {
+    return entry.heartbeatReceived
+        && nowNanos - entry.lastHeartbeatNanos <= aliveTimeoutNanos(entry.latest);
+  }
+
   /**
    * What this VM has heard of a group of members.
    *
@@ -213,11 +218,6 @@
     return OptionalLong.of(Math.min(other, nanos.orElse(other)));
   }
 
-  private static boolean isAlive(Entry entry, long nowNanos) {
-    return entry.heartbeatReceived
-        && nowNanos - entry.lastHeartbeatNanos <= aliveTimeoutNanos(entry.latest);
-  }
-
   private static long aliveTimeoutNanos(EntryHeartbeat latest) {
     long interval =
         latest.getIntervalMillis() == 0
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupAnswer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupAnswer.java
@@ -28,9 +28,6 @@
     }
   }
 
-  /** Names no VM; callers try another one. */
-  static final LookupAnswer NO_VM = new LookupAnswer(List.of(), Scope.NONE);
-
   /** Copies the list. */
   LookupAnswer {
     vms = List.copyOf(vms);
@@ -39,4 +36,9 @@
       throw new IllegalArgumentException("scope " + scope + " with " + vms.size() + " VMs");
     }
   }
+
+  /** Returns an answer that names no VM; callers try another one. */
+  static LookupAnswer noVm() {
+    return new LookupAnswer(List.of(), Scope.NONE);
+  }
 }
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -223,7 +223,7 @@
           serveRegion.isEmpty() ? onStandby : serveRegion, LookupAnswer.Scope.CALLERS_REGION);
     }
     return elsewhere.isEmpty() || !hasFailed(region, nowNanos)
-        ? LookupAnswer.NO_VM
+        ? LookupAnswer.noVm()
         : new LookupAnswer(elsewhere, LookupAnswer.Scope.OTHER_REGIONS);
   }
 
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/LookupReporterTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/LookupReporterTest.java
@@ -29,7 +29,7 @@
 
   // Guards against look-ups that send callers out of their region without a trace.
   @Test
-  void lookupsOutsideTheCallersRegionAreLoggedOnceASecondWithTheLastContact() {
+  void lookupsOutsideTheCallersRegionAreLoggedOncePerSecondWithTheLastContact() {
     hear("vm-7", SECOND);
 
     record(LookupAnswer.Scope.CALLERS_REGION, 4 * SECOND);
