--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupAnswer.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/LookupAnswer.java
@@ -13,6 +13,19 @@
  */
 record LookupAnswer(List<InetSocketAddress> vms, Scope scope) {
 
+  LookupAnswer {
+    vms = List.copyOf(vms);
+    Objects.requireNonNull(scope, "scope");
+    if (vms.isEmpty() != (scope == Scope.NONE)) {
+      throw new IllegalArgumentException("scope " + scope + " with " + vms.size() + " VMs");
+    }
+  }
+
+  /** Returns an answer that names no VM; callers try another one. */
+  static LookupAnswer noVm() {
+    return new LookupAnswer(List.of(), Scope.NONE);
+  }
+
   /** Where the named VMs run. */
   enum Scope {
     /** In the region of the caller. */
@@ -27,18 +40,4 @@
       return name().toLowerCase(Locale.ROOT);
     }
   }
-
-  /** Copies the list. */
-  LookupAnswer {
-    vms = List.copyOf(vms);
-    Objects.requireNonNull(scope, "scope");
-    if (vms.isEmpty() != (scope == Scope.NONE)) {
-      throw new IllegalArgumentException("scope " + scope + " with " + vms.size() + " VMs");
-    }
-  }
-
-  /** Returns an answer that names no VM; callers try another one. */
-  static LookupAnswer noVm() {
-    return new LookupAnswer(List.of(), Scope.NONE);
-  }
 }
