Write the groups of VMs in look-ups as plain conditions

Two nested conditional expressions in PeerView.servingVms were hard to read; the same cases as if and else. No behaviour changes: LookupRegionTest (9), LookupReporterTest and PeerViewTest pass.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -206,17 +206,17 @@
     List<InetSocketAddress> elsewhere = new ArrayList<>();
     for (EntryHeartbeat member : members.aliveMembers(nowNanos)) {
       boolean inRegion = region.equals(regionOf(member));
-      boolean isServing = isServing(member);
-      if (member.getReady() && (isServing || (inRegion && isHeardOften(member)))) {
-        List<InetSocketAddress> group = !inRegion ? elsewhere : isServing ? serveRegion : onStandby;
-        group.add(PeerAddresses.parse(member.getCallersAddress()));
+      if (member.getReady() && isServing(member)) {
+        (inRegion ? serveRegion : elsewhere).add(PeerAddresses.parse(member.getCallersAddress()));
+      } else if (member.getReady() && inRegion && isHeardOften(member)) {
+        onStandby.add(PeerAddresses.parse(member.getCallersAddress()));
       }
     }
     boolean inOwnRegion = region.equals(settings.region());
-    if (selfReady && (inOwnRegion || selfServing())) {
-      List<InetSocketAddress> group =
-          !inOwnRegion ? elsewhere : selfServing() ? serveRegion : onStandby;
-      group.add(settings.endpoints().callers());
+    if (selfReady && selfServing()) {
+      (inOwnRegion ? serveRegion : elsewhere).add(settings.endpoints().callers());
+    } else if (selfReady && inOwnRegion) {
+      onStandby.add(settings.endpoints().callers());
     }
     if (!serveRegion.isEmpty() || !onStandby.isEmpty()) {
       return new LookupAnswer(
