Publish new rules although the demand of a region is rounded above 1

Every version swaps the home regions of three routes, so some of them ran outside their home region.

DemandShares rejects it. The exception was thrown in publishIfChanged after the new rules had been decoded and before they were passed to the thread that handles requests, which then used the earlier ones until the next change; or in the tick, which was not scheduled again.

PeerViewTest.theOnlyRegionWithRequestsHasAllOfThem failed before with this exception and passes now.

--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/EntryController.java
@@ -374,6 +374,16 @@
   }
 
   private void tick() {
+    try {
+      runPeriodicTasks();
+    } finally {
+      // A fault in one run must not end the heartbeats of this VM.
+      reactor.delayBackground(
+          peerView.receivesUpdatesFromPeers(now()) ? STANDBY_TICK_MS : TICK_MS, this::tick);
+    }
+  }
+
+  private void runPeriodicTasks() {
     long now = now();
     boolean judged = rollouts.judge(members.latestHeartbeats(now), now);
     dirty |= judged || !rollouts.trials(now).equals(publishedSnapshot.trials());
@@ -391,8 +401,6 @@
     }
     peerView.logChanges(now);
     listing.removeExpired(now);
-    reactor.delayBackground(
-        peerView.receivesUpdatesFromPeers(now) ? STANDBY_TICK_MS : TICK_MS, this::tick);
   }
 
   private void publishIfChanged() {
@@ -415,8 +423,12 @@
             decodedRows.rules(), servers, decodedRows.evacuated(), rollouts.trials(now));
     ready = publishedSnapshot.rules().isPresent();
     heartbeats.setReady(ready);
-    refreshServing(now);
-    snapshotConsumer.accept(publishedSnapshot);
+    try {
+      refreshServing(now);
+    } finally {
+      // Without it, requests would be handled by the earlier rules until the next change.
+      snapshotConsumer.accept(publishedSnapshot);
+    }
     boolean announcesRules = rulesChanged && !peerView.receivesUpdatesFromPeers(now);
     if (announcesRules || heartbeats.isDue(now)) {
       heartbeats.send(now);
--- a/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
+++ b/toucanrack/src/main/java/org/toucanrack/internal/serve/entry/PeerView.java
@@ -146,7 +146,10 @@
         requestsByRegion.values().stream().mapToDouble(Double::doubleValue).sum();
     double estimatedTotal =
         observedTotal / Math.max(1, requestsByRegion.size()) * settings.regionCount();
-    return estimatedTotal > 0 ? ofRegion / estimatedTotal : 1.0 / settings.regionCount();
+    // The estimate may be rounded to less than the rate that it was derived from.
+    return estimatedTotal > 0
+        ? Math.min(1, ofRegion / estimatedTotal)
+        : 1.0 / settings.regionCount();
   }
 
   /** Returns whether callers are sent to this VM. */
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/EntrySettingsFixture.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/EntrySettingsFixture.java
@@ -11,12 +11,13 @@
 import org.toucanrack.id.VmId;
 import org.toucanrack.steering.EntrySettings;
 
-/** Settings of a VM in a deployment with one failure domain in each of two regions. */
+/** Settings of a VM in a deployment with one failure domain in each of three regions. */
 final class EntrySettingsFixture {
 
   static final VmId VM = new VmId("vm-5");
   static final FailureDomainId NEAR = new FailureDomainId("near-a");
   static final FailureDomainId FAR = new FailureDomainId("far-a");
+  static final FailureDomainId OTHER = new FailureDomainId("other-a");
   static final InetSocketAddress ADDRESS =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
 
@@ -27,7 +28,7 @@
     return new EntrySettings(
         VM,
         NEAR,
-        Map.of(NEAR, new RegionId("near"), FAR, new RegionId("far")),
+        Map.of(NEAR, new RegionId("near"), FAR, new RegionId("far"), OTHER, new RegionId("other")),
         new EntrySettings.Endpoints(
             ADDRESS, ADDRESS, ADDRESS, ADDRESS, Optional.empty(), List.of()),
         new EntrySettings.Bounds(
--- a/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/PeerViewTest.java
+++ b/toucanrack/src/test/java/org/toucanrack/internal/serve/entry/PeerViewTest.java
@@ -79,13 +79,34 @@
     assertEquals(5, view.retrySharers(false, SILENT_NANOS));
   }
 
+  // Guards against a rounding error by which the only region with requests has more than all of
+  // them. Its rejection kept a new configuration from the thread that handles requests.
+  @Test
+  void theOnlyRegionWithRequestsHasAllOfThem() {
+    hear("vm-7", true, true, 0);
+    hear("vm-8", EntrySettingsFixture.OTHER, true, true, 0);
+
+    for (int tenths = 1; tenths <= 10_000; tenths++) {
+      view.updateOwnRequestsPerSecond(tenths / 10.0);
+      view.refresh(true, 0);
+
+      assertEquals(1, view.demandShares().ofAllRegions(), 1e-9);
+      assertEquals(1, view.demandShares().ofOwnRegion(), 1e-9);
+    }
+  }
+
   private void hear(String vm, boolean serving, boolean storeReached, long nowNanos) {
+    hear(vm, FAR, serving, storeReached, nowNanos);
+  }
+
+  private void hear(
+      String vm, FailureDomainId domain, boolean serving, boolean storeReached, long nowNanos) {
     members.recordHeartbeat(
         EntryHeartbeat.newBuilder()
             .setVm(vm)
             .setIncarnation(1)
             .setSequence(1 + nowNanos)
-            .setFailureDomain(FAR.value())
+            .setFailureDomain(domain.value())
             .setReady(true)
             .setServing(serving)
             .setStoreReached(storeReached)
